--- a/src/bin/terngap-drill/main.rs
+++ b/src/bin/driftgap-adapter/main.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::process::ExitCode;
-use terngap::Gateway;
+use driftgap::Gateway;
 use wire::{encode, Reader, Record};
 
 /// Largest frame taken in; a longer one is a broken length.
@@ -91,7 +91,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("terngap-drill: {e}");
+            eprintln!("driftgap-adapter: {e}");
             ExitCode::from(2)
         }
     }
--- a/src/bin/terngap-drill/setup.rs
+++ b/src/bin/driftgap-adapter/setup.rs
@@ -1,7 +1,7 @@
 //! The settings that come as JSON with a fresh instance, mapped to the module's.
 
 use serde_json::Value;
-use terngap::{Class, Effect, Field, Group, Plan, Settings};
+use driftgap::{Class, Effect, Field, Group, Plan, Settings};
 
 type Res<T> = Result<T, String>;
 
--- a/src/bin/terngap-drill/wire.rs
+++ b/src/bin/driftgap-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! Frames and records of the simulator's wire: decoding events, encoding actions. It does not decide.
 
-use terngap::{Action, AttemptEnd, Event, HostEntry, HostState, ListKind, Outcome, Request};
+use driftgap::{Action, AttemptEnd, Event, HostEntry, HostState, ListKind, Outcome, Request};
 
 /// An event as the wire addresses it: to one instance.
 #[derive(Debug, PartialEq)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! appends [`Action`]s for the program that embeds it. The same events give the same actions.
 //!
 //! ```
-//! use terngap::*;
+//! use driftgap::*;
 //!
 //! let settings = Settings {
 //!     gateways: 2,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A gateway under test with its settings, a clock and a record of what it did.
 #![allow(dead_code)]
 
-use terngap::*;
+use driftgap::*;
 
 pub fn class(effect: Effect, group: Group) -> Class {
     Class { aim: 0.5, deadline: 2.0, effect, group, window: 1.0, late_share: 0.0, worth: 1.0 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use std::collections::BTreeMap;
-use terngap::*;
+use driftgap::*;
 
 /// What the counter does to a call.
 #[derive(Clone, Copy, PartialEq)]
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use terngap::*;
+use driftgap::*;
 
 /// Jams one host's worth of slow answers until the threshold is learnt, then stops.
 fn bed_with_threshold() -> Bed {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
-use terngap::*;
+use driftgap::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,11 +1,11 @@
 //! The adapter's records against bytes worked out by hand from the wire page's layout, and its exits.
 
-#[path = "../src/bin/terngap-drill/wire.rs"]
+#[path = "../src/bin/driftgap-adapter/wire.rs"]
 mod wire;
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
-use terngap::*;
+use driftgap::*;
 use wire::{encode, Reader, Record};
 
 fn bytes(hex: &str) -> Vec<u8> {
@@ -108,7 +108,7 @@
 }
 
 fn drill(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_terngap-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_driftgap-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
