--- a/src/bin/driftgap-adapter/main.rs
+++ b/src/bin/driftgap-adapter/main.rs
@@ -1,13 +1,12 @@
 //! The adapter: hosts many gateways on the simulator's wire over standard input and output.
 //! It maps records to events and actions to records, and decides nothing.
 
-mod setup;
 mod wire;
 
+use driftgap::{settings, Gateway};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::process::ExitCode;
-use driftgap::Gateway;
 use wire::{encode, Reader, Record};
 
 /// Largest frame taken in; a longer one is a broken length.
@@ -35,7 +34,8 @@
     while let Some(record) = reader.record()? {
         match record {
             Record::Born { who, seed, setup } => {
-                let settings = setup::settings(&setup).map_err(|e| format!("Born of instance {who}: {e}"))?;
+                let settings =
+                    settings::settings(&setup).map_err(|e| format!("Born of instance {who}: {e}"))?;
                 let gateway = Gateway::new(settings, seed)
                     .map_err(|e| format!("Born of instance {who}: settings: {e}"))?;
                 hosted.insert(who, gateway);
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,461 @@
+//! The life of commands, whatever wire they came by. It owns every command from its arrival to its one final
+//! answer, the attempts made for it, their deadlines, and the drain before a stop. It must never read or
+//! write a socket, know RESP or HTTP, or ask the system for the time; and it decides nothing about whom to
+//! serve: that is the module's, behind the facade.
+
+use crate::api::{HostEntry, HostState, ListKind, Outcome};
+use crate::facade::{Add, Ask, CommandId, Ended, Errand, Facade, InstanceId, Report, Verdict};
+use crate::settings::Platform;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// What a service client asks for, free of any wire.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Command {
+    /// The figures that decisions rest on.
+    pub ask: Ask,
+    /// The partner as the client wrote it.
+    pub customer: String,
+    /// The command's id as the client wrote it.
+    pub id: String,
+    /// Names and values in the client's order, `c`, `t` and `d` among them.
+    pub terms: Vec<(String, String)>,
+    /// How long the client waits, counted from its send.
+    pub patience_ms: f64,
+    /// The body, if there is one.
+    pub body: Option<Vec<u8>>,
+}
+
+/// Why a command cannot be taken. It gets a failed answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadCommand {
+    /// A value that is missing or makes no sense.
+    #[error("bad {0}")]
+    Term(&'static str),
+    /// A class that the settings do not name.
+    #[error("unknown class")]
+    Class,
+    /// A plan that the settings do not name.
+    #[error("unknown plan")]
+    Plan,
+}
+
+impl Command {
+    /// Builds a command from the names and values that every wire carries in one form or another.
+    ///
+    /// # Errors
+    /// The first value that makes no sense.
+    pub fn new(
+        platform: &Platform,
+        customer: &str,
+        id: &str,
+        terms: Vec<(String, String)>,
+        body: Option<Vec<u8>>,
+    ) -> Result<Command, BadCommand> {
+        let find = |name: &str| terms.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str());
+        let number = |name: &'static str, range: std::ops::RangeInclusive<f64>| {
+            let value = find(name).and_then(|v| v.parse::<f64>().ok());
+            value.filter(|v| range.contains(v)).ok_or(BadCommand::Term(name))
+        };
+        let known = customer.len() <= 16 && customer.bytes().all(|b| b.is_ascii_hexdigit());
+        let customer_id = u64::from_str_radix(customer, 16).ok().filter(|_| known);
+        if id.is_empty() || id.len() > 128 || !id.bytes().all(|b| b.is_ascii_graphic()) {
+            return Err(BadCommand::Term("id"));
+        }
+        let class = find("c").and_then(|c| platform.classes.iter().position(|n| n == c));
+        let plan = find("t").and_then(|t| platform.plans.iter().position(|n| n == t));
+        let ask = Ask {
+            class: class.ok_or(BadCommand::Class)?,
+            plan: plan.ok_or(BadCommand::Plan)?,
+            customer: customer_id.ok_or(BadCommand::Term("customer"))?,
+            units: number("units", 0.0..=1e6)?,
+            spread: number("spread", 1.0..=65_535.0)? as u32,
+            first: number("first", 0.0..=65_535.0)? as u32,
+            repeat: find("r") == Some("1"),
+        };
+        let patience_ms = number("d", 0.0..=3.6e6)?;
+        Ok(Command { ask, customer: customer.into(), id: id.into(), terms, patience_ms, body })
+    }
+
+    /// Memory that it holds, roughly.
+    fn size(&self) -> usize {
+        512 + self.body.as_ref().map_or(0, Vec::len)
+    }
+}
+
+/// The one final answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Served, with the value that an instance gave.
+    Served(Vec<u8>),
+    /// Refused; trying again is harmless, after so long.
+    Nack {
+        /// Milliseconds to stay away; 0: no advice.
+        after_ms: f64,
+    },
+    /// Failed: by an instance, or for want of time (`late`).
+    Failed {
+        /// For want of time, not by an instance's word.
+        late: bool,
+    },
+}
+
+/// An attempt to make.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    /// Its command's number.
+    pub id: CommandId,
+    /// Its own number among the command's attempts, from 0.
+    pub attempt: u32,
+    /// Where to.
+    pub instance: InstanceId,
+    /// What.
+    pub command: Rc<Command>,
+    /// Until when it may last, on the clock.
+    pub until: f64,
+}
+
+/// Work for the network, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Give a service client its answer.
+    Reply(CommandId, Answer),
+    /// Start an attempt.
+    Start(Start),
+    /// Abandon an attempt: its connection must be closed before anything else is done.
+    Abandon(CommandId, u32),
+    /// Ask an instance for its load.
+    Probe(InstanceId),
+    /// Add to a number on the counter.
+    Count(Add),
+    /// Close the idle connections to an instance that is leaving or has left.
+    Release(InstanceId),
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct End {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// What it brought if it was served.
+    pub value: Option<Vec<u8>>,
+    /// The instance's load report, if one came along.
+    pub load: Vec<f64>,
+}
+
+impl End {
+    /// An end that brought nothing.
+    pub fn without(outcome: Outcome) -> End {
+        End { outcome, value: None, load: Vec::new() }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+struct Attempt {
+    out: bool,
+    may_have_run: bool,
+}
+
+struct Held {
+    command: Rc<Command>,
+    give_up: f64,
+    answered: bool,
+    attempts: Vec<Attempt>,
+}
+
+impl Held {
+    /// Whether sending it once more, or telling the client to, can do no harm.
+    fn harmless(&self, safe: bool) -> bool {
+        safe || self.attempts.iter().all(|a| !a.may_have_run)
+    }
+}
+
+/// Figures for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Commands taken.
+    pub taken: u64,
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub nacked: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Clients gone before their answer.
+    pub gone: u64,
+    /// Attempts.
+    pub attempts: u64,
+    /// Counter calls.
+    pub counts: u64,
+}
+
+/// All commands of this ingress.
+pub struct Core {
+    platform: Rc<Platform>,
+    facade: Facade,
+    held: HashMap<CommandId, Held>,
+    expiries: BinaryHeap<Reverse<(u64, CommandId, u32)>>,
+    ready: HashMap<InstanceId, bool>,
+    effects: VecDeque<Effect>,
+    next: CommandId,
+    bytes: usize,
+    most_bytes: usize,
+    open: usize,
+    tally: Tally,
+}
+
+impl Core {
+    /// No commands yet. `most_bytes` bounds the memory that held commands may take.
+    pub fn new(platform: Rc<Platform>, facade: Facade, most_bytes: usize) -> Core {
+        Core {
+            platform,
+            facade,
+            held: HashMap::new(),
+            expiries: BinaryHeap::new(),
+            ready: HashMap::new(),
+            effects: VecDeque::new(),
+            next: 1,
+            bytes: 0,
+            most_bytes,
+            open: 0,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Takes a command that was read at `now`; its one answer comes as [`Effect::Reply`].
+    pub fn arrive(&mut self, now: f64, command: Command) -> CommandId {
+        let id = self.next;
+        self.next = self.next.wrapping_add(1).max(1);
+        self.tally.taken += 1;
+        // Guards memory: nothing has been sent on, so the refusal is harmless for every class.
+        if self.held.len() >= self.platform.most_held || self.bytes + command.size() > self.most_bytes {
+            self.tally.nacked += 1;
+            self.effects.push_back(Effect::Reply(id, Answer::Nack { after_ms: 500.0 }));
+            return id;
+        }
+        let give_up = now + command.patience_ms;
+        self.bytes += command.size();
+        let command = Rc::new(command);
+        let held = Held { command: command.clone(), give_up, answered: false, attempts: Vec::new() };
+        self.held.insert(id, held);
+        self.open += 1;
+        let verdict = self.facade.pick(now, id, &command.ask, give_up);
+        self.carry_out(now, id, verdict);
+        self.settle(now);
+        id
+    }
+
+    /// The service client has gone: nothing is owed, and its attempts are abandoned.
+    pub fn client_gone(&mut self, now: f64, id: CommandId) {
+        let Some(held) = self.held.get_mut(&id).filter(|h| !h.answered) else { return };
+        held.answered = true;
+        let out: Vec<u32> = (0..).zip(&held.attempts).filter(|(_, a)| a.out).map(|(i, _)| i).collect();
+        self.open -= 1;
+        self.tally.gone += 1;
+        self.facade.report(now, Report::ClientGone(id));
+        for attempt in out {
+            self.abandon(now, id, attempt, Outcome::Cancelled);
+        }
+        self.forget(id);
+        self.settle(now);
+    }
+
+    /// An attempt has ended on its own.
+    pub fn attempt_ended(&mut self, now: f64, id: CommandId, attempt: u32, end: End) {
+        self.end(now, id, attempt, end);
+        self.settle(now);
+    }
+
+    /// A counter call has ended.
+    pub fn counted(&mut self, now: f64, name: u64, outcome: Outcome, total: f64) {
+        self.facade.report(now, Report::Counted(name, outcome, total));
+        self.settle(now);
+    }
+
+    /// A probe has ended.
+    pub fn probed(&mut self, now: f64, instance: InstanceId, outcome: Outcome, load: Vec<f64>) {
+        self.facade.report(now, Report::Probed(instance, outcome, load));
+        self.settle(now);
+    }
+
+    /// The name table has news.
+    pub fn names(&mut self, now: f64, kind: ListKind, entries: Vec<HostEntry>) {
+        if kind != ListKind::Delta {
+            self.ready.values_mut().for_each(|ready| *ready = false);
+        }
+        for entry in &entries {
+            self.ready.insert(entry.host, entry.state == HostState::Ready);
+        }
+        let left = self.ready.iter().filter(|(_, ready)| !**ready).map(|(id, _)| *id);
+        self.effects.extend(left.map(Effect::Release));
+        self.ready.retain(|_, ready| *ready);
+        self.facade.report(now, Report::Names(kind, entries));
+        self.settle(now);
+    }
+
+    /// Lets timers and deadlines come due.
+    pub fn tick(&mut self, now: f64) {
+        self.facade.tick(now);
+        self.settle(now);
+        while let Some(Reverse((due, id, attempt))) = self.expiries.peek().copied() {
+            if due as f64 > now * 1e3 {
+                break;
+            }
+            self.expiries.pop();
+            if self.is_out(id, attempt) {
+                self.abandon(now, id, attempt, Outcome::Timeout);
+                self.settle(now);
+            }
+        }
+    }
+
+    /// When [`Core::tick`] must be called at the latest.
+    pub fn next_due(&self) -> Option<f64> {
+        let expiry = self.expiries.peek().map(|Reverse((due, _, _))| *due as f64 / 1e3);
+        match (self.facade.next_due(), expiry) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// The next piece of work for the network.
+    pub fn next_effect(&mut self) -> Option<Effect> {
+        self.effects.pop_front()
+    }
+
+    /// Commands that are still owed an answer.
+    pub fn owed(&self) -> usize {
+        self.open
+    }
+
+    /// Figures so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// Instances that take commands.
+    pub fn instances(&self) -> usize {
+        self.ready.len()
+    }
+
+    fn is_out(&self, id: CommandId, attempt: u32) -> bool {
+        self.held.get(&id).and_then(|h| h.attempts.get(attempt as usize)).is_some_and(|a| a.out)
+    }
+
+    /// Carries out what the facade left: verdicts may bring further ones.
+    fn settle(&mut self, now: f64) {
+        loop {
+            if let Some((id, verdict)) = self.facade.next_verdict() {
+                self.carry_out(now, id, verdict);
+                continue;
+            }
+            match self.facade.next_errand() {
+                Some(Errand::Cancel(command, attempt)) => {
+                    if self.is_out(command, attempt) {
+                        self.abandon(now, command, attempt, Outcome::Cancelled);
+                    }
+                }
+                Some(Errand::Probe(instance)) => self.effects.push_back(Effect::Probe(instance)),
+                // The name table is followed from the start, whoever asks.
+                Some(Errand::Follow) => {}
+                Some(Errand::Count(add)) => {
+                    self.tally.counts += 1;
+                    self.effects.push_back(Effect::Count(add));
+                }
+                None => return,
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: f64, id: CommandId, verdict: Verdict) {
+        match verdict {
+            Verdict::Hold => {}
+            Verdict::Send { instance, patience_ms } => self.send(now, id, instance, patience_ms),
+            Verdict::Nack { after_ms } => {
+                let safe = |h: &Held| {
+                    let class = &self.platform.module.classes[h.command.ask.class];
+                    h.harmless(class.effect == crate::api::Effect::Safe)
+                };
+                // Guards the rule against double effects: whatever was decided, a command that may have run
+                // is not told to come again.
+                let harmless = self.held.get(&id).is_some_and(safe);
+                let answer =
+                    if harmless { Answer::Nack { after_ms } } else { Answer::Failed { late: false } };
+                self.finish(id, answer);
+            }
+            Verdict::Fail => {
+                let late = self.held.get(&id).is_some_and(|h| now + 10.0 >= h.give_up);
+                self.finish(id, Answer::Failed { late });
+            }
+        }
+    }
+
+    fn send(&mut self, now: f64, id: CommandId, instance: InstanceId, patience_ms: f64) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let attempt = held.attempts.len() as u32;
+        let class = &self.platform.module.classes[held.command.ask.class];
+        let settings = &self.platform.module;
+        // Guards three rules whatever the module asks: never two attempts out, no second run of work with
+        // an effect, nothing to an instance that is leaving.
+        let allowed = !held.answered
+            && held.attempts.iter().all(|a| !a.out)
+            && held.harmless(class.effect == crate::api::Effect::Safe)
+            && attempt < settings.max_attempts
+            && now < held.give_up
+            && self.ready.contains_key(&instance);
+        held.attempts.push(Attempt { out: allowed, may_have_run: allowed });
+        if !allowed {
+            let finished = held.answered;
+            let outcome = Outcome::Moot;
+            let end = Ended { command: id, attempt, outcome, finished, load: Vec::new() };
+            return self.facade.report(now, Report::Ended(end));
+        }
+        let until = if patience_ms > 0.0 { held.give_up.min(now + patience_ms) } else { held.give_up };
+        let command = held.command.clone();
+        self.tally.attempts += 1;
+        self.expiries.push(Reverse(((until * 1e3) as u64, id, attempt)));
+        self.effects.push_back(Effect::Start(Start { id, attempt, instance, command, until }));
+    }
+
+    fn abandon(&mut self, now: f64, id: CommandId, attempt: u32, outcome: Outcome) {
+        self.effects.push_back(Effect::Abandon(id, attempt));
+        self.end(now, id, attempt, End::without(outcome));
+    }
+
+    fn end(&mut self, now: f64, id: CommandId, attempt: u32, end: End) {
+        let End { outcome, value, load } = end;
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(a) = held.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
+        a.out = false;
+        a.may_have_run = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        if let Some(value) = value.filter(|_| outcome == Outcome::Ok) {
+            self.finish(id, Answer::Served(value));
+        }
+        let finished = self.held.get(&id).is_none_or(|h| h.answered);
+        let end = Ended { command: id, attempt, outcome, finished, load };
+        self.facade.report(now, Report::Ended(end));
+        self.forget(id);
+    }
+
+    /// The one place where a command gets its answer, once.
+    fn finish(&mut self, id: CommandId, answer: Answer) {
+        let Some(held) = self.held.get_mut(&id).filter(|h| !h.answered) else { return };
+        held.answered = true;
+        self.open -= 1;
+        match answer {
+            Answer::Served(_) => self.tally.served += 1,
+            Answer::Nack { .. } => self.tally.nacked += 1,
+            Answer::Failed { .. } => self.tally.failed += 1,
+        }
+        self.effects.push_back(Effect::Reply(id, answer));
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: CommandId) {
+        if let Some(held) = self.held.get(&id).filter(|h| h.answered && h.attempts.iter().all(|a| !a.out)) {
+            self.bytes -= held.command.size();
+            self.held.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/counter.rs
@@ -0,0 +1,250 @@
+//! Calls to the counter service. It owns a few pipelined connections; a name always takes the same one, so
+//! that its answers come in the order of its calls. It must never repeat a call that may have counted, take
+//! a late answer for another call's, or hold a call back beyond the wait in the settings.
+
+use crate::api::Outcome;
+use crate::facade::Add;
+use crate::node::Hub;
+use crate::ring::Ring;
+use crate::wire::{http_answer, Parsed};
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io::{ErrorKind, Write};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Connections. Few, since each costs a descriptor and a wake-up; more than one, since a slow part of the
+/// counter holds up what is behind it.
+pub const LANES: usize = 4;
+/// A connection whose oldest call has waited this long is given up, ms.
+const DEAD_MS: f64 = 1500.0;
+/// Idle connections are closed after this long, ms, well before the counter does it.
+const IDLE_MS: f64 = 5000.0;
+/// Most bytes queued in a direction.
+const MOST: usize = 256 * 1024;
+
+struct Call {
+    name: u64,
+    made: f64,
+    /// Its end was told; the answer, if one comes, is dropped.
+    told: bool,
+}
+
+/// One connection and its calls.
+#[derive(Default)]
+struct Lane {
+    /// Written, in the order of the answers to come.
+    written: VecDeque<Call>,
+    /// Not written for want of a connection.
+    waiting: VecDeque<(Call, Vec<u8>)>,
+    stream: Option<Rc<TcpStream>>,
+    output: Option<Ring>,
+    connecting: bool,
+    used: f64,
+}
+
+/// The calls of this ingress.
+pub struct Counter {
+    addr: SocketAddr,
+    wait_ms: f64,
+    lanes: [RefCell<Lane>; LANES],
+    wake: [Notify; LANES],
+}
+
+impl Counter {
+    /// A counter at an address; calls wait this long for their answers.
+    pub fn new(addr: SocketAddr, wait_ms: f64) -> Counter {
+        Counter { addr, wait_ms, lanes: Default::default(), wake: Default::default() }
+    }
+
+    /// Makes a call; its end is told to the hub.
+    pub fn add(self: &Rc<Self>, hub: &Rc<Hub>, add: Add) {
+        let Add { name, amount, lives_ms } = add;
+        let lane_no = (name % LANES as u64) as usize;
+        let now = hub.now();
+        let call = Call { name, made: now, told: false };
+        let keep = lives_ms.clamp(1.0, 60_000.0) as u64;
+        let mut text = Vec::with_capacity(128);
+        let _ = write!(
+            text,
+            "POST /tally/{name:016x}?n={amount}&keep_ms={keep} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
+            self.addr
+        );
+        let mut lane = self.lanes[lane_no].borrow_mut();
+        lane.used = now;
+        if lane.stream.is_some() {
+            if let Err(call) = lane.send(call, &text) {
+                lane.waiting.push_back((call, text));
+            }
+            if lane.output.as_ref().is_some_and(|o| !o.is_empty()) {
+                self.wake[lane_no].notify_one();
+            }
+            return;
+        }
+        lane.waiting.push_back((call, text));
+        if !lane.connecting {
+            lane.connecting = true;
+            spawn_local(serve(self.clone(), hub.clone(), lane_no));
+        }
+    }
+
+    /// When [`Counter::expire`] has something to do.
+    pub fn next_due(&self) -> Option<f64> {
+        let due = |lane: &RefCell<Lane>| {
+            let lane = lane.borrow();
+            let written = lane.written.iter().find(|c| !c.told).map(|c| c.made);
+            let waiting = lane.waiting.front().map(|(c, _)| c.made);
+            written.into_iter().chain(waiting).min_by(f64::total_cmp)
+        };
+        self.lanes.iter().filter_map(due).min_by(f64::total_cmp).map(|made| made + self.wait_ms)
+    }
+
+    /// Ends the calls that have waited long enough and closes what is idle or dead.
+    pub fn expire(&self, hub: &Rc<Hub>, now: f64) {
+        let mut ended = Vec::new();
+        for (lane, wake) in self.lanes.iter().zip(&self.wake) {
+            let mut lane = lane.borrow_mut();
+            let late = now - self.wait_ms;
+            for call in lane.written.iter_mut().take_while(|c| c.made <= late).filter(|c| !c.told) {
+                call.told = true;
+                ended.push((call.name, Outcome::Timeout));
+            }
+            // Never written, so nothing was added; dropped, so nothing ever will be.
+            while lane.waiting.front().is_some_and(|(c, _)| c.made <= late) {
+                ended.extend(lane.waiting.pop_front().map(|(c, _)| (c.name, Outcome::ConnectFailed)));
+            }
+            let dead = lane.written.front().is_some_and(|c| now - c.made > DEAD_MS);
+            let idle = lane.written.is_empty() && lane.waiting.is_empty() && now - lane.used > IDLE_MS;
+            if lane.stream.is_some() && (dead || idle) {
+                ended.extend(lane.broke());
+                wake.notify_one();
+            }
+        }
+        tell(hub, ended);
+    }
+}
+
+fn tell(hub: &Rc<Hub>, ended: Vec<(u64, Outcome)>) {
+    for (name, outcome) in ended {
+        hub.with_core(|core, now| core.counted(now, name, outcome, 0.0));
+    }
+}
+
+impl Lane {
+    /// Writes a call behind those already written, or gives it back, unwritten, where there is no room.
+    fn send(&mut self, call: Call, text: &[u8]) -> Result<(), Call> {
+        let (Some(stream), Some(output)) = (&self.stream, &mut self.output) else { return Err(call) };
+        let direct = if output.is_empty() { stream.try_write(text).unwrap_or(0) } else { 0 };
+        if output.push(&text[direct..]).is_err() {
+            return Err(call);
+        }
+        self.written.push_back(call);
+        Ok(())
+    }
+
+    /// The connection is no more: what was written may have been added. Calls still in the ring were not
+    /// written whole, but telling which would gain little: they count as "may have".
+    fn broke(&mut self) -> Vec<(u64, Outcome)> {
+        (self.stream, self.output) = (None, None);
+        self.written.drain(..).filter(|c| !c.told).map(|c| (c.name, Outcome::Timeout)).collect()
+    }
+}
+
+/// One connection of a lane, from its connect to its end.
+async fn serve(counter: Rc<Counter>, hub: Rc<Hub>, lane_no: usize) {
+    let lane = &counter.lanes[lane_no];
+    let wait = Duration::from_secs_f64(counter.wait_ms.max(1.0) / 1e3);
+    let connected = timeout(wait, TcpStream::connect(counter.addr)).await;
+    lane.borrow_mut().connecting = false;
+    let Ok(Ok(stream)) = connected else {
+        let failed: Vec<_> =
+            lane.borrow_mut().waiting.drain(..).map(|(c, _)| (c.name, Outcome::ConnectFailed)).collect();
+        return tell(&hub, failed);
+    };
+    let _ = stream.set_nodelay(true);
+    let stream = Rc::new(stream);
+    {
+        let mut lane = lane.borrow_mut();
+        (lane.stream, lane.output) = (Some(stream.clone()), Some(Ring::new(MOST)));
+        while let Some((call, text)) = lane.waiting.pop_front() {
+            if let Err(call) = lane.send(call, &text) {
+                lane.waiting.push_front((call, text));
+                break;
+            }
+        }
+    }
+    let mut input = Ring::new(MOST);
+    while exchange(&counter, &hub, lane_no, &stream, &mut input).await {}
+    let mine = lane.borrow().stream.as_ref().is_some_and(|s| Rc::ptr_eq(s, &stream));
+    if mine {
+        let ended = lane.borrow_mut().broke();
+        tell(&hub, ended);
+    }
+}
+
+/// Waits for bytes to read or room to write; false: the connection has ended.
+async fn exchange(
+    counter: &Rc<Counter>,
+    hub: &Rc<Hub>,
+    lane_no: usize,
+    stream: &Rc<TcpStream>,
+    input: &mut Ring,
+) -> bool {
+    let lane = &counter.lanes[lane_no];
+    let more = lane.borrow().output.as_ref().is_some_and(|o| !o.is_empty());
+    tokio::select! {
+        ready = stream.readable() => if ready.is_err() { return false },
+        _ = stream.writable(), if more => {}
+        () = counter.wake[lane_no].notified() => {}
+    }
+    {
+        let mut lane = lane.borrow_mut();
+        if !lane.stream.as_ref().is_some_and(|s| Rc::ptr_eq(s, stream)) {
+            return false;
+        }
+        if let Some(output) = lane.output.as_mut().filter(|o| !o.is_empty()) {
+            match stream.try_write(output.front()) {
+                Ok(n) => output.consume(n),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return false,
+            }
+        }
+    }
+    let Ok(spare) = input.spare() else { return false };
+    match stream.try_read(spare) {
+        Ok(0) => return false,
+        Ok(n) => input.filled(n),
+        Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+        Err(_) => return false,
+    }
+    loop {
+        let answer = match http_answer(input.whole()) {
+            Ok(Parsed::Whole(answer, n)) => {
+                input.consume(n);
+                answer
+            }
+            Ok(Parsed::More) => return true,
+            Err(_) => return false,
+        };
+        let Some(call) = lane.borrow_mut().written.pop_front() else { return false };
+        if !call.told {
+            let total = std::str::from_utf8(&answer.body).ok().and_then(|t| t.trim().parse::<f64>().ok());
+            let (outcome, total) = match (answer.status, total) {
+                (200, Some(total)) if total.is_finite() => (Outcome::Ok, total),
+                // Added, but the total is garbage.
+                (200, _) => (Outcome::Timeout, 0.0),
+                (503, _) => (Outcome::Full, 0.0),
+                _ => (Outcome::Error, 0.0),
+            };
+            hub.with_core(|core, now| core.counted(now, call.name, outcome, total));
+        }
+        if answer.close {
+            return false;
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -100,7 +100,18 @@
 
 mod api;
 mod balance;
+pub mod clock;
+pub mod core;
+pub mod counter;
+pub mod facade;
+pub mod front;
+pub mod name_table;
+pub mod node;
+pub mod ring;
+pub mod settings;
 mod state;
+pub mod upstream;
+pub mod wire;
 
 pub use api::*;
 pub use balance::Gateway;
--- /dev/null
+++ b/src/name_table.rs
@@ -0,0 +1,250 @@
+//! The name table: which instances there are, where they listen and what state they are in. It owns the
+//! numbering of instances, discovery's form of the list, and the long polls that follow it. It must never
+//! drop the last list for an answer that makes no sense, leave more than 200 ms between an answer and the
+//! next poll, or decide who gets a command.
+
+use crate::api::{HostEntry, HostState, ListKind};
+use crate::facade::InstanceId;
+use crate::node::Hub;
+use crate::ring::Ring;
+use crate::wire::{http_answer, HttpAnswer, Parsed};
+use serde_json::Value;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// How long one poll may wait for news, ms.
+const POLL_MS: u64 = 20_000;
+/// An answer later than the poll's own wait by this much will not come.
+const GRACE: Duration = Duration::from_secs(3);
+/// Back-off after a failed poll: first, most.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+
+/// Which wire an instance speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Speaks {
+    /// The platform's RESP2.
+    #[default]
+    Resp,
+    /// HTTP/2 with prior knowledge.
+    Http2,
+}
+
+/// Where an instance is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance {
+    /// Its name, for the log.
+    pub name: String,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its wire.
+    pub speaks: Speaks,
+}
+
+/// News of the table.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// All of it or a change.
+    pub kind: ListKind,
+    /// The version it brings.
+    pub version: u64,
+    /// The entries.
+    pub entries: Vec<HostEntry>,
+}
+
+/// A list that makes no sense.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct BadList(pub String);
+
+/// The table.
+#[derive(Debug, Default)]
+pub struct NameTable {
+    zones: Vec<String>,
+    numbers: HashMap<String, InstanceId>,
+    instances: HashMap<InstanceId, Instance>,
+}
+
+impl NameTable {
+    /// An empty table; zones are numbered as the settings list them.
+    pub fn new(zones: Vec<String>) -> NameTable {
+        NameTable { zones, ..NameTable::default() }
+    }
+
+    /// An instance, if the table has named it.
+    pub fn instance(&self, id: InstanceId) -> Option<&Instance> {
+        self.instances.get(&id)
+    }
+
+    /// The number of an instance of this name: the same for as long as the program runs.
+    pub fn number(&mut self, name: &str) -> InstanceId {
+        let next = self.numbers.len() as InstanceId;
+        *self.numbers.entry(name.to_string()).or_insert(next)
+    }
+
+    /// Puts an instance where it says it is.
+    pub fn place(&mut self, id: InstanceId, instance: Instance) {
+        self.instances.insert(id, instance);
+    }
+
+    /// A zone's number by its name.
+    pub fn zone(&self, name: &str) -> u32 {
+        self.zones.iter().position(|z| z == name).unwrap_or(self.zones.len()) as u32
+    }
+
+    /// Takes in a list in discovery's form. One bad entry is left out and named; the others count.
+    ///
+    /// # Errors
+    /// It is no list at all; nothing was taken in.
+    pub fn take(&mut self, value: &Value) -> Result<News, BadList> {
+        let version = value.get("version").and_then(Value::as_u64);
+        let version = version.ok_or_else(|| BadList("version is missing".into()))?;
+        let servers = value.get("servers").and_then(Value::as_array);
+        let servers = servers.ok_or_else(|| BadList("servers is missing".into()))?;
+        let full = value.get("full").and_then(Value::as_bool).unwrap_or(false);
+        let mut entries = Vec::with_capacity(servers.len());
+        for (i, server) in servers.iter().enumerate() {
+            match self.entry(server) {
+                Ok(entry) => entries.push(entry),
+                Err(field) => log::warn!("discovery: servers[{i}].{field} makes no sense, entry left out"),
+            }
+        }
+        Ok(News { kind: if full { ListKind::Full } else { ListKind::Delta }, version, entries })
+    }
+
+    fn entry(&mut self, server: &Value) -> Result<HostEntry, &'static str> {
+        let text = |key: &'static str| server.get(key).and_then(Value::as_str).ok_or(key);
+        let number = |key: &str, absent: f64| server.get(key).and_then(Value::as_f64).unwrap_or(absent);
+        let state = match text("state")? {
+            "active" => HostState::Ready,
+            "leaving" => HostState::Draining,
+            "left" => HostState::Gone,
+            _ => return Err("state"),
+        };
+        let id = self.number(text("id")?);
+        let speaks = match server.get("protocol").and_then(Value::as_str) {
+            Some("http2") => Speaks::Http2,
+            _ => Speaks::Resp,
+        };
+        match text("addr").and_then(|a| a.parse().map_err(|_| "addr")) {
+            Ok(addr) => self.place(id, Instance { name: text("id")?.to_string(), addr, speaks }),
+            // What leaves needs no address.
+            Err(field) if state == HostState::Ready => return Err(field),
+            Err(_) => {}
+        }
+        Ok(HostEntry {
+            host: id,
+            zone: server.get("zone").and_then(Value::as_str).map_or(0, |z| self.zone(z)),
+            cell: number("cell", 0.0) as u32,
+            state,
+            size: number("weight", 1.0),
+            started: number("started_ms", 0.0) / 1e3,
+        })
+    }
+}
+
+/// One connection to the agent.
+struct Poll {
+    stream: TcpStream,
+    ring: Ring,
+}
+
+async fn call(poll: &mut Poll, path: &str, host: SocketAddr) -> std::io::Result<HttpAnswer> {
+    use std::io::{Error, ErrorKind};
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+    let mut rest = request.as_bytes();
+    while !rest.is_empty() {
+        poll.stream.writable().await?;
+        match poll.stream.try_write(rest) {
+            Ok(n) => rest = &rest[n..],
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    loop {
+        match http_answer(poll.ring.whole()) {
+            Ok(Parsed::Whole(answer, n)) => {
+                poll.ring.consume(n);
+                return Ok(answer);
+            }
+            Ok(Parsed::More) => {}
+            Err(e) => return Err(Error::new(ErrorKind::InvalidData, e)),
+        }
+        poll.stream.readable().await?;
+        let spare = poll.ring.spare().map_err(|e| Error::new(ErrorKind::InvalidData, e))?;
+        match poll.stream.try_read(spare) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(n) => poll.ring.filled(n),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// Follows the agent for as long as the program runs.
+pub async fn follow(hub: Rc<Hub>, agent: SocketAddr) {
+    let (mut version, mut back_off, mut poll): (Option<u64>, Duration, Option<Poll>) =
+        (None, BACK_OFF.0, None);
+    let mut complained = false;
+    loop {
+        let result = step(&mut poll, agent, version).await;
+        match result.and_then(|answer| take(&hub, &answer)) {
+            Ok(news) => {
+                version = Some(news);
+                back_off = BACK_OFF.0;
+                complained = false;
+            }
+            Err(problem) => {
+                if !complained {
+                    log::warn!("discovery at {agent}: {problem}; the last list stays");
+                }
+                complained = true;
+                poll = None;
+                tokio::time::sleep(back_off).await;
+                back_off = (back_off * 2).min(BACK_OFF.1);
+            }
+        }
+    }
+}
+
+/// One poll: the whole list first, then what comes after the version held.
+async fn step(
+    poll: &mut Option<Poll>,
+    agent: SocketAddr,
+    version: Option<u64>,
+) -> Result<HttpAnswer, String> {
+    if poll.is_none() {
+        let dial = timeout(Duration::from_secs(1), TcpStream::connect(agent)).await;
+        let stream = dial.map_err(|_| "no connection".to_string())?.map_err(|e| e.to_string())?;
+        let _ = stream.set_nodelay(true);
+        *poll = Some(Poll { stream, ring: Ring::new(8 * 1024 * 1024) });
+    }
+    let Some(connection) = poll.as_mut() else { return Err("no connection".into()) };
+    let (path, wait) = match version {
+        None => ("/api/targets".to_string(), GRACE),
+        Some(v) => (format!("/api/targets?index={v}&wait={POLL_MS}"), Duration::from_millis(POLL_MS) + GRACE),
+    };
+    let answer = timeout(wait, call(connection, &path, agent)).await;
+    let answer = answer.map_err(|_| "no answer".to_string())?.map_err(|e| e.to_string())?;
+    if answer.close {
+        *poll = None;
+    }
+    Ok(answer)
+}
+
+fn take(hub: &Rc<Hub>, answer: &HttpAnswer) -> Result<u64, String> {
+    if answer.status != 200 {
+        return Err(format!("status {}", answer.status));
+    }
+    let value: Value = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+    let news = hub.table().take(&value).map_err(|e| e.to_string())?;
+    let version = news.version;
+    hub.discovery_answered();
+    if news.kind == ListKind::Full || !news.entries.is_empty() {
+        hub.with_core(|core, now| core.names(now, news.kind, news.entries));
+    }
+    Ok(version)
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,265 @@
+//! The program round the core: it owns the event loop's shared state, carries the core's effects to the
+//! network and the network's news to the core, runs the timer, and steps through start and drain. It must
+//! never decide about a command, nor hold the core while it touches a socket.
+
+use crate::api::{ListKind, Outcome};
+use crate::clock::Clock;
+use crate::core::{Command, Core, Effect};
+use crate::counter::{Counter, LANES};
+use crate::facade::{CommandId, Facade};
+use crate::front::resp::RespFront;
+use crate::front::ServiceClient;
+use crate::name_table::{follow, NameTable};
+use crate::settings::{Config, Platform};
+use crate::upstream::Upstream;
+use std::cell::{Cell, RefCell, RefMut};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::spawn_local;
+
+/// Longest between two looks at the timers, ms; the module's own tick is as long.
+const LOOK_MS: f64 = 50.0;
+/// Without a word from discovery, the last known list serves after this long, ms.
+const ALONE_MS: f64 = 300.0;
+/// How long new connections are accepted after SIGTERM, ms.
+const ACCEPT_MS: f64 = 500.0;
+/// The longest deadline counts as this at most when the program is stopped, ms; and what comes on top.
+const STOP_MS: (f64, f64) = (3000.0, 650.0);
+/// Descriptors that are neither clients' nor instances'.
+const OTHERS: usize = 24 + LANES;
+/// Figures are logged this often, ms.
+const FIGURES_MS: f64 = 10_000.0;
+
+/// Why the program cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The settings make no sense to the module.
+    #[error("settings: {0}")]
+    Settings(#[from] crate::api::SettingsError),
+    /// The list in `known` makes no sense.
+    #[error("known: {0}")]
+    Known(#[from] crate::name_table::BadList),
+    /// The address cannot be listened on.
+    #[error("listen: {0}: {1}")]
+    Listen(std::net::SocketAddr, std::io::Error),
+    /// Something that the system refuses.
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+}
+
+/// Who is owed an answer, and its mark for the command.
+type Owed = (Rc<dyn ServiceClient>, u64);
+
+/// What all tasks share.
+pub struct Hub {
+    clock: Clock,
+    platform: Rc<Platform>,
+    core: RefCell<Core>,
+    table: RefCell<NameTable>,
+    upstream: Upstream,
+    counter: Option<Rc<Counter>>,
+    clients: RefCell<HashMap<CommandId, Owed>>,
+    pumping: Cell<bool>,
+    started: f64,
+    answered: Cell<bool>,
+    me: std::rc::Weak<Hub>,
+}
+
+impl Hub {
+    /// The shared state of an ingress with this configuration.
+    ///
+    /// # Errors
+    /// Settings that make no sense.
+    pub fn new(config: &Config, clock: Clock) -> Result<Rc<Hub>, StartError> {
+        let platform = Rc::new(config.platform.clone());
+        let facade = Facade::new(platform.module.clone(), config.seed)?;
+        let most_bytes = (config.memory_mb * 1e6 / 3.0) as usize;
+        let instances = config.sockets.saturating_sub(OTHERS) * 2 / 5;
+        Ok(Rc::new_cyclic(|me| Hub {
+            started: clock.now(),
+            core: Core::new(platform.clone(), facade, most_bytes).into(),
+            table: NameTable::new(platform.zones.clone()).into(),
+            upstream: Upstream::new(&platform, instances),
+            counter: config.counter.map(|addr| Rc::new(Counter::new(addr, platform.count_wait_ms))),
+            clients: RefCell::default(),
+            pumping: Cell::new(false),
+            answered: Cell::new(false),
+            me: me.clone(),
+            platform,
+            clock,
+        }))
+    }
+
+    /// The time.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    /// The settings.
+    pub fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    /// The name table.
+    pub fn table(&self) -> RefMut<'_, NameTable> {
+        self.table.borrow_mut()
+    }
+
+    /// The connections to instances.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Discovery has answered: the list is as good as it gets.
+    pub fn discovery_answered(&self) {
+        self.answered.set(true);
+    }
+
+    /// Whether commands can be served.
+    pub fn can_serve(&self) -> bool {
+        let told = self.answered.get() || self.now() - self.started > ALONE_MS;
+        told && self.core.borrow().instances() > 0
+    }
+
+    /// Lets the core act, then carries out what it wants done.
+    pub fn with_core(&self, act: impl FnOnce(&mut Core, f64)) {
+        act(&mut self.core.borrow_mut(), self.clock.now());
+        self.pump();
+    }
+
+    /// Takes a command; `known` hears its number before any answer can come.
+    pub fn arrive(
+        &self,
+        command: Command,
+        client: Rc<dyn ServiceClient>,
+        ticket: u64,
+        known: impl FnOnce(CommandId),
+    ) {
+        let id = self.core.borrow_mut().arrive(self.clock.now(), command);
+        self.clients.borrow_mut().insert(id, (client, ticket));
+        known(id);
+        self.pump();
+    }
+
+    /// A service client is gone.
+    pub fn client_gone(&self, id: CommandId) {
+        self.clients.borrow_mut().remove(&id);
+        self.with_core(|core, now| core.client_gone(now, id));
+    }
+
+    fn pump(&self) {
+        let Some(me) = self.me.upgrade() else { return };
+        if self.pumping.replace(true) {
+            return;
+        }
+        loop {
+            let effect = self.core.borrow_mut().next_effect();
+            match effect {
+                Some(Effect::Reply(id, answer)) => {
+                    let client = self.clients.borrow_mut().remove(&id);
+                    if let Some((client, ticket)) = client {
+                        client.answer(ticket, answer);
+                    }
+                }
+                Some(Effect::Start(attempt)) => self.upstream.start(&me, attempt),
+                Some(Effect::Abandon(id, attempt)) => self.upstream.abandon(id, attempt),
+                Some(Effect::Probe(instance)) => self.upstream.probe(&me, instance),
+                Some(Effect::Release(instance)) => self.upstream.release(instance),
+                Some(Effect::Count(add)) => match &self.counter {
+                    Some(counter) => counter.add(&me, add),
+                    None => {
+                        let mut core = self.core.borrow_mut();
+                        core.counted(self.clock.now(), add.name, Outcome::ConnectFailed, 0.0);
+                    }
+                },
+                None => break,
+            }
+        }
+        self.pumping.set(false);
+    }
+
+    /// Looks after everything that comes due with time.
+    async fn keep_time(self: Rc<Self>) {
+        let (mut swept, mut logged) = (self.now(), self.now());
+        loop {
+            let now = self.now();
+            let core = self.core.borrow().next_due();
+            let counter = self.counter.as_ref().and_then(|c| c.next_due());
+            let due = core.into_iter().chain(counter).fold(now + LOOK_MS, f64::min);
+            tokio::time::sleep_until(self.clock.instant(due).into()).await;
+            self.with_core(|core, now| core.tick(now));
+            let now = self.now();
+            if let Some(counter) = &self.counter {
+                counter.expire(&self, now);
+            }
+            if now - swept > 1000.0 {
+                swept = now;
+                self.upstream.sweep(now);
+            }
+            if now - logged > FIGURES_MS {
+                logged = now;
+                self.log_figures();
+            }
+        }
+    }
+
+    fn log_figures(&self) {
+        let core = self.core.borrow();
+        log::info!("{:?} owed={} instance links={}", core.tally(), core.owed(), self.upstream.open());
+    }
+}
+
+/// Serves until SIGTERM or SIGINT, then drains.
+///
+/// # Errors
+/// What keeps it from starting.
+pub async fn run(config: Config) -> Result<(), StartError> {
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let hub = Hub::new(&config, Clock::system())?;
+    if !config.known.is_null() {
+        let news = hub.table().take(&config.known)?;
+        hub.with_core(|core, now| core.names(now, ListKind::Cached, news.entries));
+    }
+    let listener = TcpListener::bind(config.listen).await;
+    let listener = Rc::new(listener.map_err(|e| StartError::Listen(config.listen, e))?);
+    spawn_local(hub.clone().keep_time());
+    if let Some(agent) = config.discovery {
+        spawn_local(follow(hub.clone(), agent));
+    }
+    let clients = config.sockets.saturating_sub(OTHERS) * 3 / 5;
+    let front = RespFront::new(hub.clone(), clients);
+    let accepting = spawn_local(front.clone().listen(listener.clone()));
+    log::info!("{} listens on {}", config.name, config.listen);
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    drain(&hub, &front, accepting, listener).await;
+    Ok(())
+}
+
+/// Finishes what was taken, closes what is idle, and ends in time.
+async fn drain(
+    hub: &Rc<Hub>,
+    front: &Rc<RespFront>,
+    accepting: tokio::task::JoinHandle<()>,
+    listener: Rc<TcpListener>,
+) {
+    let begun = hub.now();
+    log::info!("stopping: {} commands owed, {} clients", hub.core.borrow().owed(), front.connections());
+    tokio::time::sleep_until(hub.clock.instant(begun + ACCEPT_MS).into()).await;
+    accepting.abort();
+    let _ = accepting.await;
+    drop(listener);
+    front.leave();
+    let longest = hub.platform.module.classes.iter().map(|c| c.deadline * 1e3).fold(0.0, f64::max);
+    let last = begun + longest.min(STOP_MS.0) + STOP_MS.1;
+    while front.connections() > 0 && hub.now() < last {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    hub.log_figures();
+    log::info!("stopped after {:.0} ms", hub.now() - begun);
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,264 @@
+//! The one parser of the settings object: the simulator's first message and the platform's `EDGE_CONFIG`
+//! carry the same one. It owns the names and units of that object and the messages on what is wrong with
+//! it. It must never decide anything, fill in what is required, or read a file or a socket.
+
+use crate::api::{Class, Effect, Field, Group, Plan, Settings};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Settings that cannot be used; the text names the field.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct ConfigError(pub String);
+
+type Res<T> = Result<T, ConfigError>;
+
+fn wrong<T>(text: String) -> Res<T> {
+    Err(ConfigError(text))
+}
+
+/// A place in the settings, for messages.
+struct At<'a> {
+    value: &'a Value,
+    path: String,
+}
+
+impl<'a> At<'a> {
+    fn get(&self, key: &str) -> Option<At<'a>> {
+        let value = self.value.get(key).filter(|v| !v.is_null())?;
+        let dot = if self.path.is_empty() { "" } else { "." };
+        Some(At { value, path: format!("{}{dot}{key}", self.path) })
+    }
+    fn need(&self, key: &str) -> Res<At<'a>> {
+        let dot = if self.path.is_empty() { "" } else { "." };
+        self.get(key).ok_or_else(|| ConfigError(format!("settings: {}{dot}{key} is missing", self.path)))
+    }
+    fn number(&self) -> Res<f64> {
+        self.value.as_f64().ok_or_else(|| ConfigError(format!("settings: {} is not a number", self.path)))
+    }
+    fn text(&self) -> Res<&'a str> {
+        self.value.as_str().ok_or_else(|| ConfigError(format!("settings: {} is not a text", self.path)))
+    }
+    fn flag(&self) -> Res<bool> {
+        self.value
+            .as_bool()
+            .ok_or_else(|| ConfigError(format!("settings: {} is not true or false", self.path)))
+    }
+    fn items(&self) -> Res<Vec<At<'a>>> {
+        let list = self
+            .value
+            .as_array()
+            .ok_or_else(|| ConfigError(format!("settings: {} is not a list", self.path)))?;
+        let item = |(i, value)| At { value, path: format!("{}[{i}]", self.path) };
+        Ok(list.iter().enumerate().map(item).collect())
+    }
+    fn number_or(&self, key: &str, absent: f64) -> Res<f64> {
+        self.get(key).map_or(Ok(absent), |at| at.number())
+    }
+    fn flag_or(&self, key: &str, absent: bool) -> Res<bool> {
+        self.get(key).map_or(Ok(absent), |at| at.flag())
+    }
+}
+
+fn class(at: &At) -> Res<Class> {
+    let effect = at.need("effect")?;
+    let group = at.get("group").map_or(Ok("all"), |g| g.text())?;
+    Ok(Class {
+        aim: at.need("aim")?.number()?,
+        deadline: at.need("deadline")?.number()?,
+        effect: match effect.text()? {
+            "pure" => Effect::Safe,
+            "token" => Effect::Keyed,
+            "side_effect" => Effect::Unsafe,
+            other => return wrong(format!("settings: {}: unknown effect {other}", effect.path)),
+        },
+        group: match group {
+            "all" => Group::All,
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            other => return wrong(format!("settings: {}.group: unknown group {other}", at.path)),
+        },
+        window: at.number_or("window", 0.0)?,
+        late_share: at.number_or("late_share", 0.0)?,
+        worth: at.number_or("credit", 1.0)?,
+    })
+}
+
+fn plan(at: &At) -> Res<Plan> {
+    Ok(Plan {
+        rate: at.number_or("units_per_s", 0.0)?,
+        burst: at.number_or("store_size", 0.0)?,
+        at_once: at.number_or("at_once", 0.0)? as u32,
+        excess_worth: at.number_or("excess_worth", 0.0)?,
+        over_cost: at.number_or("over_cost", 0.0)?,
+        ceiling_rate: at.number_or("never_over_rate", 0.0)?,
+        ceiling_burst: at.number_or("ceiling_burst", 0.0)?,
+    })
+}
+
+fn field(at: &At) -> Res<Field> {
+    Ok(match at.text()? {
+        "rif" => Field::InFlight,
+        "q" => Field::Queue,
+        "busy" => Field::Utilization,
+        "lat_ms" => Field::LatencyMs,
+        _ => Field::Other,
+    })
+}
+
+/// Settings from the JSON text of a fresh instance.
+///
+/// # Errors
+/// The field that is missing or makes no sense.
+pub fn settings(text: &str) -> Res<Settings> {
+    let value: Value =
+        serde_json::from_str(text).map_err(|e| ConfigError(format!("settings: not JSON: {e}")))?;
+    module(&At { value: &value, path: String::new() })
+}
+
+/// The module's part of the settings object.
+fn module(root: &At) -> Res<Settings> {
+    let empty = Value::Object(serde_json::Map::new());
+    let part = |key: &str| root.get(key).unwrap_or_else(|| At { value: &empty, path: key.to_string() });
+    let (limits, rules, info, report) = (part("limits"), part("rules"), part("family_info"), part("report"));
+    let columns = report.get("columns").map_or(Ok(Vec::new()), |c| c.items())?;
+    Ok(Settings {
+        gateways: root.need("balancers")?.number()? as u32,
+        position: root.number_or("position", 0.0)? as u32,
+        zone: root.number_or("my_zone", 0.0)? as u32,
+        classes: root.need("request_classes")?.items()?.iter().map(class).collect::<Res<_>>()?,
+        plans: root.need("plans")?.items()?.iter().map(plan).collect::<Res<_>>()?,
+        report: columns.iter().map(field).collect::<Res<_>>()?,
+        report_by_probe: report.get("how").map_or(Ok(""), |h| h.text())? == "probe",
+        list_on_request: root.get("discovery").map_or(Ok(""), |d| d.text())? == "subscribe",
+        may_probe: limits.flag_or("probes", false)?,
+        may_cancel: limits.flag_or("may_cancel", false)?,
+        second_copies: limits.flag_or("parallel_tries", false)?,
+        counter: info.flag_or("counter", false)?,
+        counter_timeout: info.number_or("count_wait", 0.0)?,
+        settled_later: info.flag_or("cost_after", false)?,
+        most_units: info.number_or("most_units", 1.0)?,
+        max_attempts: limits.number_or("most_tries", 1.0)? as u32,
+        max_retry_after: limits.number_or("max_retry_after", 0.0)?,
+        resolution: root.number_or("resolution", 0.0)?,
+        cold_share: rules.number_or("cold_share", 1.0)?,
+        warm_up: rules.number_or("warm_up", 0.0)?,
+        overload_factor: rules.number_or("overload_factor", 1.0)?,
+        tip_after: rules.number_or("tip_after", 1.0)?,
+    })
+}
+
+/// What an ingress on sockets needs of the settings beside the module's part. Times in milliseconds.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// The module's part.
+    pub module: Settings,
+    /// Class names, by index.
+    pub classes: Vec<String>,
+    /// Plan names, by index.
+    pub plans: Vec<String>,
+    /// Zone names, by index.
+    pub zones: Vec<String>,
+    /// Names in a load report, by column.
+    pub columns: Vec<String>,
+    /// An instance closes a connection that was idle this long.
+    pub idle_ms: f64,
+    /// A connection that is not up by then has failed.
+    pub dial_ms: f64,
+    /// A counter call without an answer by then has timed out.
+    pub count_wait_ms: f64,
+    /// Most commands held at once.
+    pub most_held: usize,
+}
+
+/// Everything that an ingress is told at its start (`EDGE_CONFIG`).
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Where service clients connect.
+    pub listen: SocketAddr,
+    /// The discovery agent, if there is one.
+    pub discovery: Option<SocketAddr>,
+    /// The counter, if there is one.
+    pub counter: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// Most descriptors held.
+    pub sockets: usize,
+    /// Memory, MB.
+    pub memory_mb: f64,
+    /// The last known list of instances, in discovery's form.
+    pub known: Value,
+    /// The settings.
+    pub platform: Platform,
+}
+
+fn names(root: &At, list: &str, key: &str) -> Res<Vec<String>> {
+    root.need(list)?.items()?.iter().map(|at| Ok(at.need(key)?.text()?.to_string())).collect()
+}
+
+fn texts(at: Option<At>) -> Res<Vec<String>> {
+    at.map_or(Ok(vec![]), |z| z.items()?.iter().map(|at| Ok(at.text()?.to_string())).collect())
+}
+
+fn platform(root: &At) -> Res<Platform> {
+    let limits = root.get("limits");
+    let limit = |key: &str, absent: f64| match limits.as_ref().map(|l| l.number_or(key, absent)) {
+        Some(Ok(x)) if !(x.is_finite() && x > 0.0) => {
+            wrong(format!("settings: limits.{key} must be above 0"))
+        }
+        other => other.unwrap_or(Ok(absent)),
+    };
+    let report = root.get("report");
+    Ok(Platform {
+        module: module(root)?,
+        classes: names(root, "request_classes", "name")?,
+        plans: names(root, "plans", "name")?,
+        zones: texts(root.get("zones"))?,
+        columns: texts(report.and_then(|r| r.get("columns")))?,
+        idle_ms: 1e3 * limit("conn_idle", 10.0)?,
+        dial_ms: 1e3 * limit("dial_timeout", 0.25)?,
+        count_wait_ms: 1e3 * root.get("family_info").map_or(Ok(0.08), |f| f.number_or("count_wait", 0.08))?,
+        most_held: limit("most_held", 20_000.0)? as usize,
+    })
+}
+
+fn address(at: &At) -> Res<SocketAddr> {
+    let text = at.text()?;
+    text.parse().or_else(|_| wrong(format!("{}: {text:?} is not an address and port", at.path)))
+}
+
+impl Config {
+    /// The configuration from its JSON text.
+    ///
+    /// # Errors
+    /// The field that is missing or makes no sense.
+    pub fn parse(text: &str) -> Res<Config> {
+        let value: Value = serde_json::from_str(text).map_err(|e| ConfigError(format!("not JSON: {e}")))?;
+        let root = At { value: &value, path: String::new() };
+        let limits = root.get("limits");
+        let limit = |key: &str, absent: f64| limits.as_ref().map_or(Ok(absent), |l| l.number_or(key, absent));
+        let seed = match root.get("seed") {
+            Some(at) => u64::from_str_radix(at.text()?, 16)
+                .or_else(|_| wrong(format!("{}: not a hexadecimal number", at.path)))?,
+            None => 1,
+        };
+        let sockets = limit("sockets", 1024.0)?;
+        if !(64.0..=1e6).contains(&sockets) {
+            return wrong(format!("limits.sockets: {sockets} is not from 64 to 1000000"));
+        }
+        let settings = root.need("settings")?;
+        Ok(Config {
+            name: root.get("name").map_or(Ok("ingress"), |n| n.text())?.to_string(),
+            listen: address(&root.need("listen")?)?,
+            discovery: root.get("discovery").map(|d| address(&d)).transpose()?,
+            counter: root.get("counter").map(|c| address(&c)).transpose()?,
+            seed,
+            sockets: sockets as usize,
+            memory_mb: limit("memory_mb", 192.0)?,
+            known: value.get("known").cloned().unwrap_or(Value::Null),
+            platform: platform(&At { value: settings.value, path: String::new() })?,
+        })
+    }
+}
--- /dev/null
+++ b/src/upstream.rs
@@ -0,0 +1,384 @@
+//! Connections to instances. It owns their pools (one attempt at a time on a connection, newest first, idle
+//! ones retired well before the instance would), the cap learnt from failed connects, and the word on
+//! whether an attempt may have run. It must never send an attempt again of its own accord, leave an
+//! abandoned attempt's connection open, or reuse one whose peer has closed it.
+
+use crate::api::Outcome;
+use crate::core::{End, Start};
+use crate::facade::{CommandId, InstanceId};
+use crate::name_table::{Instance, Speaks};
+use crate::node::Hub;
+use crate::ring::Ring;
+use crate::settings::Platform;
+use crate::wire::{instance_reply, push_command, push_words, Parsed, Reply};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::timeout;
+
+/// Share of the idle time in the settings after which a connection is retired.
+const RETIRE: f64 = 0.6;
+/// Largest reply: value, figures and report.
+const MOST_REPLY: usize = 256 * 1024;
+/// Connections at an instance under which a failed connect says nothing of its limit.
+const LEAST_CAP: usize = 8;
+/// A learnt cap is lifted by one after each such span, ms.
+const LIFT_MS: f64 = 1000.0;
+
+/// A place among the open connections, given back when dropped.
+struct Seat {
+    all: Rc<Cell<usize>>,
+    here: Rc<Cell<usize>>,
+}
+
+impl Seat {
+    fn take(all: &Rc<Cell<usize>>, here: &Rc<Cell<usize>>) -> Seat {
+        all.set(all.get() + 1);
+        here.set(here.get() + 1);
+        Seat { all: all.clone(), here: here.clone() }
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - 1);
+        self.here.set(self.here.get() - 1);
+    }
+}
+
+/// A connection to an instance.
+struct Link {
+    stream: TcpStream,
+    input: RefCell<Ring>,
+    output: RefCell<Ring>,
+    _seat: Seat,
+}
+
+struct Idle {
+    link: Rc<Link>,
+    since: f64,
+}
+
+#[derive(Default)]
+struct Pool {
+    idle: Vec<Idle>,
+    open: Rc<Cell<usize>>,
+    /// Most connections, as learnt, and when it was last changed.
+    cap: Option<(usize, f64)>,
+}
+
+/// An attempt under way.
+struct Running {
+    task: AbortHandle,
+    link: Rc<RefCell<Option<Rc<Link>>>>,
+}
+
+/// All connections to instances.
+pub struct Upstream {
+    pools: RefCell<HashMap<InstanceId, Pool>>,
+    running: RefCell<HashMap<(CommandId, u32), Running>>,
+    open: Rc<Cell<usize>>,
+    budget: usize,
+    retire_ms: f64,
+    dial: Duration,
+}
+
+impl Upstream {
+    /// No connections yet; `budget` is the most that may be open together.
+    pub fn new(platform: &Platform, budget: usize) -> Upstream {
+        Upstream {
+            pools: RefCell::default(),
+            running: RefCell::default(),
+            open: Rc::default(),
+            budget,
+            retire_ms: platform.idle_ms * RETIRE,
+            dial: Duration::from_secs_f64(platform.dial_ms / 1e3),
+        }
+    }
+
+    /// Connections open or coming up.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Starts an attempt; its end is told to the hub.
+    pub fn start(&self, hub: &Rc<Hub>, attempt: Start) {
+        let key = (attempt.id, attempt.attempt);
+        let link = Rc::new(RefCell::new(None));
+        let (held, hub) = (link.clone(), hub.clone());
+        let task = spawn_local(async move {
+            let end = run(&hub, &attempt, &held).await;
+            hub.upstream().running.borrow_mut().remove(&(attempt.id, attempt.attempt));
+            hub.with_core(|core, now| core.attempt_ended(now, attempt.id, attempt.attempt, end));
+        });
+        self.running.borrow_mut().insert(key, Running { task: task.abort_handle(), link });
+    }
+
+    /// Abandons an attempt. Its sending is ended here and now, not when the task is next looked at: a further
+    /// attempt of the same command must never overlap with it.
+    pub fn abandon(&self, id: CommandId, number: u32) {
+        let Some(running) = self.running.borrow_mut().remove(&(id, number)) else { return };
+        if let Some(link) = running.link.borrow_mut().take() {
+            let _ = socket2::SockRef::from(&link.stream).shutdown(std::net::Shutdown::Both);
+        }
+        running.task.abort();
+    }
+
+    /// Asks an instance for its load.
+    pub fn probe(&self, hub: &Rc<Hub>, instance: InstanceId) {
+        let hub = hub.clone();
+        spawn_local(async move {
+            let wait = hub.upstream().dial;
+            let (outcome, load) =
+                timeout(wait, probe(&hub, instance)).await.unwrap_or((Outcome::Timeout, Vec::new()));
+            hub.with_core(|core, now| core.probed(now, instance, outcome, load));
+        });
+    }
+
+    /// Closes the idle connections to an instance.
+    pub fn release(&self, instance: InstanceId) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&instance) {
+            pool.idle.clear();
+        }
+    }
+
+    /// Retires connections that have been idle for long.
+    pub fn sweep(&self, now: f64) {
+        let mut pools = self.pools.borrow_mut();
+        for pool in pools.values_mut() {
+            pool.idle.retain(|idle| now - idle.since < self.retire_ms);
+        }
+        pools.retain(|_, pool| pool.open.get() > 0 || pool.cap.is_some());
+    }
+
+    /// The newest idle connection that its peer has not closed.
+    fn reuse(&self, now: f64, instance: InstanceId) -> Option<Rc<Link>> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(&instance)?;
+        while let Some(idle) = pool.idle.pop() {
+            if now - idle.since >= self.retire_ms {
+                pool.idle.clear();
+                return None;
+            }
+            // Guards against work that "may have run" for nothing: an end or a reset that is already here
+            // is seen before the command is written.
+            let quiet = idle.link.stream.try_read(&mut [0; 1]);
+            if quiet.is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
+                return Some(idle.link);
+            }
+        }
+        None
+    }
+
+    /// A place for one more connection, or none within the budget and the instance's cap.
+    fn seat(&self, now: f64, instance: InstanceId) -> Option<Seat> {
+        let mut pools = self.pools.borrow_mut();
+        if self.open.get() >= self.budget {
+            // Shed the one that has been idle for longest.
+            let oldest = pools.values_mut().filter(|p| !p.idle.is_empty());
+            oldest.min_by(|a, b| a.idle[0].since.total_cmp(&b.idle[0].since))?.idle.remove(0);
+        }
+        let pool = pools.entry(instance).or_default();
+        if let Some((cap, at)) = pool.cap {
+            let cap = cap + ((now - at) / LIFT_MS) as usize;
+            if pool.open.get() >= cap {
+                return None;
+            }
+        }
+        Some(Seat::take(&self.open, &pool.open))
+    }
+
+    /// A connect failed while others stood: the instance takes no more than these.
+    fn refused(&self, now: f64, instance: InstanceId) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&instance) {
+            let others = pool.open.get().saturating_sub(1);
+            if others >= LEAST_CAP {
+                pool.cap = Some((others, now));
+            }
+        }
+    }
+
+    fn keep(&self, now: f64, instance: InstanceId, link: Rc<Link>) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&instance) {
+            pool.idle.push(Idle { link, since: now });
+        }
+    }
+}
+
+async fn connect(hub: &Rc<Hub>, instance: InstanceId, addr: SocketAddr) -> Option<Rc<Link>> {
+    let upstream = hub.upstream();
+    if let Some(link) = upstream.reuse(hub.now(), instance) {
+        return Some(link);
+    }
+    let seat = upstream.seat(hub.now(), instance)?;
+    match timeout(upstream.dial, TcpStream::connect(addr)).await {
+        Ok(Ok(stream)) => {
+            let _ = stream.set_nodelay(true);
+            let (input, output) = (Ring::new(MOST_REPLY).into(), Ring::new(MOST_REPLY).into());
+            Some(Rc::new(Link { stream, input, output, _seat: seat }))
+        }
+        _ => {
+            upstream.refused(hub.now(), instance);
+            None
+        }
+    }
+}
+
+/// Writes what was pushed to the link; false: it broke before the last byte was written.
+async fn write(link: &Link) -> bool {
+    loop {
+        let written = {
+            let mut output = link.output.borrow_mut();
+            if output.is_empty() {
+                return true;
+            }
+            let written = link.stream.try_write(output.front());
+            if let Ok(n) = written {
+                output.consume(n);
+            }
+            written
+        };
+        match written {
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                if link.stream.writable().await.is_err() {
+                    return false;
+                }
+            }
+            Err(_) => return false,
+        }
+    }
+}
+
+/// Reads one reply and turns it into something by `then`; none: the link broke or brought garbage.
+async fn read<T>(link: &Link, then: impl Fn(Reply) -> Option<T>) -> Option<T> {
+    loop {
+        let got = {
+            let mut input = link.input.borrow_mut();
+            let spare = input.spare().ok()?;
+            let got = link.stream.try_read(spare);
+            if let Ok(n) = got {
+                input.filled(n);
+            }
+            got
+        };
+        match got {
+            Ok(0) => return None,
+            Ok(_) => {
+                let mut input = link.input.borrow_mut();
+                let (value, n) = match instance_reply(input.whole()) {
+                    Ok(Parsed::Whole(reply, n)) => (then(reply)?, n),
+                    Ok(Parsed::More) => continue,
+                    Err(_) => return None,
+                };
+                input.consume(n);
+                return Some(value);
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => link.stream.readable().await.ok()?,
+            Err(_) => return None,
+        }
+    }
+}
+
+async fn run(hub: &Rc<Hub>, attempt: &Start, held: &RefCell<Option<Rc<Link>>>) -> End {
+    let Some(Instance { addr, speaks: Speaks::Resp, .. }) = hub.table().instance(attempt.instance).cloned()
+    else {
+        return End::without(Outcome::ConnectFailed);
+    };
+    let Some(link) = connect(hub, attempt.instance, addr).await else {
+        return End::without(Outcome::ConnectFailed);
+    };
+    *held.borrow_mut() = Some(link.clone());
+    let now = hub.now();
+    let mut bytes = Vec::with_capacity(256);
+    push_command(&mut bytes, hub.platform(), &attempt.command, attempt.until - now);
+    if link.output.borrow_mut().push(&bytes).is_err() || !write(&link).await {
+        return End::without(Outcome::ConnectFailed);
+    }
+    let end = read(&link, |reply| ending(hub.platform(), reply)).await;
+    held.borrow_mut().take();
+    match end {
+        Some(end) => {
+            // Anything behind the reply is nobody's: such a connection is not reused.
+            if link.input.borrow().is_empty() {
+                hub.upstream().keep(hub.now(), attempt.instance, link);
+            }
+            end
+        }
+        None => End::without(Outcome::Reset),
+    }
+}
+
+/// What a reply means, by the table of the protocol page; none: it makes no sense.
+fn ending(platform: &Platform, reply: Reply) -> Option<End> {
+    match reply {
+        Reply::Array(items) => match items.as_slice() {
+            [Reply::Bulk(Some(value)), rest @ ..] => {
+                let load = match rest.get(1) {
+                    Some(Reply::Bulk(Some(report))) => load(platform, report),
+                    _ => Vec::new(),
+                };
+                Some(End { outcome: Outcome::Ok, value: Some(value.to_vec()), load })
+            }
+            _ => None,
+        },
+        Reply::Error(text) => {
+            let mut words = text.split(|b| *b == b' ');
+            let outcome = if words.next() == Some(b"BUSY") { Outcome::Full } else { Outcome::Error };
+            let last = words.next_back().filter(|w| w.contains(&b'='));
+            let load = last.map_or(Vec::new(), |report| load(platform, report));
+            Some(End { outcome, value: None, load })
+        }
+        _ => None,
+    }
+}
+
+/// The figures of a load report in the order of the settings' columns; empty where one is missing.
+fn load(platform: &Platform, report: &[u8]) -> Vec<f64> {
+    let text = std::str::from_utf8(report).unwrap_or("");
+    let find = |column: &String| {
+        let other = match column.as_str() {
+            "rif" => "inflight",
+            "q" => "queue",
+            "busy" => "util",
+            "lat_ms" => "latency_ms",
+            "rate" => "qps",
+            "fail_rate" => "eps",
+            _ => column,
+        };
+        let pairs = text.split(',').filter_map(|p| p.split_once('='));
+        let mut named = pairs.filter(|(name, _)| name == column || *name == other);
+        named.next().and_then(|(_, value)| value.parse().ok())
+    };
+    platform.columns.iter().map(find).collect::<Option<Vec<f64>>>().unwrap_or_default()
+}
+
+async fn probe(hub: &Rc<Hub>, instance: InstanceId) -> (Outcome, Vec<f64>) {
+    let failed = (Outcome::ConnectFailed, Vec::new());
+    let Some(Instance { addr, speaks: Speaks::Resp, .. }) = hub.table().instance(instance).cloned() else {
+        return failed;
+    };
+    let Some(link) = connect(hub, instance, addr).await else { return failed };
+    let mut bytes = Vec::new();
+    push_words(&mut bytes, [b"INFO".as_slice(), b"load"].into_iter());
+    if link.output.borrow_mut().push(&bytes).is_err() || !write(&link).await {
+        return failed;
+    }
+    let answer = read(&link, |reply| match reply {
+        Reply::Bulk(Some(report)) => Some((Outcome::Ok, load(hub.platform(), report))),
+        Reply::Error(_) => Some((Outcome::Error, Vec::new())),
+        _ => None,
+    });
+    match answer.await {
+        Some(result) => {
+            hub.upstream().keep(hub.now(), instance, link);
+            result
+        }
+        None => (Outcome::Reset, Vec::new()),
+    }
+}
--- /dev/null
+++ b/src/wire.rs
@@ -0,0 +1,333 @@
+//! The grammars of the platform's wires, as winnow parsers over whatever bytes have come so far: RESP2 words
+//! and replies, HTTP/1.1 answers of the counter and discovery. It owns every bound on lengths, counts and
+//! depth, so that no peer can make a connection hold more than its ring's cap. It must never touch a socket
+//! or a clock, nor panic on any input.
+
+use crate::core::{BadCommand, Command};
+use crate::settings::Platform;
+use winnow::ascii::crlf;
+use winnow::combinator::{alt, preceded, terminated};
+use winnow::error::{ContextError, ErrMode};
+use winnow::prelude::*;
+use winnow::stream::Partial;
+use winnow::token::{literal, take, take_while};
+
+/// Longest value.
+pub const MOST_VALUE: usize = 64 * 1024;
+/// Most words in a command.
+const MOST_WORDS: usize = 16;
+/// Longest head of an HTTP answer, line of a RESP reply.
+const MOST_LINE: usize = 16 * 1024;
+/// Longest HTTP body: a long list of instances.
+const MOST_BODY: usize = 4 * 1024 * 1024;
+/// Deepest array in a reply.
+const MOST_DEPTH: usize = 4;
+
+type In<'a> = Partial<&'a [u8]>;
+
+/// What the bytes so far amount to.
+#[derive(Debug, PartialEq)]
+pub enum Parsed<T> {
+    /// A whole message and its length in bytes.
+    Whole(T, usize),
+    /// More bytes are wanted.
+    More,
+}
+
+/// Bytes that are no message of this wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("malformed message")]
+pub struct Malformed;
+
+fn whole<'a, T>(
+    bytes: &'a [u8],
+    mut parser: impl Parser<In<'a>, T, ErrMode<ContextError>>,
+) -> Result<Parsed<T>, Malformed> {
+    let mut input = Partial::new(bytes);
+    match parser.parse_next(&mut input) {
+        Ok(value) => Ok(Parsed::Whole(value, bytes.len() - input.len())),
+        Err(ErrMode::Incomplete(_)) => Ok(Parsed::More),
+        Err(_) => Err(Malformed),
+    }
+}
+
+fn fail<T>() -> ModalResult<T> {
+    Err(ErrMode::Cut(ContextError::new()))
+}
+
+fn number(input: &mut In<'_>) -> ModalResult<usize> {
+    let digits: &[u8] = take_while(1..=7, |b: u8| b.is_ascii_digit()).parse_next(input)?;
+    crlf.parse_next(input)?;
+    Ok(digits.iter().fold(0, |n, d| n * 10 + usize::from(d - b'0')))
+}
+
+fn bulk<'a>(input: &mut In<'a>) -> ModalResult<&'a [u8]> {
+    let size = preceded(literal(b"$"), number).parse_next(input)?;
+    if size > MOST_VALUE {
+        return fail();
+    }
+    terminated(take(size), crlf).parse_next(input)
+}
+
+fn words<'a>(input: &mut In<'a>) -> ModalResult<Vec<&'a [u8]>> {
+    let count = preceded(literal(b"*"), number).parse_next(input)?;
+    if count == 0 || count > MOST_WORDS {
+        return fail();
+    }
+    (0..count).map(|_| bulk(input)).collect()
+}
+
+/// The next command of a service client, as words.
+///
+/// # Errors
+/// Bytes that can never become a command.
+pub fn command_words(bytes: &[u8]) -> Result<Parsed<Vec<&[u8]>>, Malformed> {
+    whole(bytes, words)
+}
+
+/// A reply of an instance.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply<'a> {
+    /// `+...` or `:...`
+    Simple(&'a [u8]),
+    /// `-...`
+    Error(&'a [u8]),
+    /// A bulk string, or null.
+    Bulk(Option<&'a [u8]>),
+    /// An array; a null one is empty.
+    Array(Vec<Reply<'a>>),
+}
+
+fn line<'a>(input: &mut In<'a>) -> ModalResult<&'a [u8]> {
+    if input.len() > MOST_LINE && !input[..MOST_LINE].contains(&b'\r') {
+        return fail();
+    }
+    terminated(take_while(0.., |b: u8| b != b'\r' && b != b'\n'), crlf).parse_next(input)
+}
+
+fn reply<'a>(input: &mut In<'a>, depth: usize) -> ModalResult<Reply<'a>> {
+    let kind: &[u8] = take(1usize).parse_next(input)?;
+    match kind[0] {
+        b'+' | b':' => line.map(Reply::Simple).parse_next(input),
+        b'-' => line.map(Reply::Error).parse_next(input),
+        b'$' => {
+            let size = alt((literal(b"-1\r\n").value(None), number.map(Some))).parse_next(input)?;
+            match size {
+                None => Ok(Reply::Bulk(None)),
+                Some(size) if size <= MOST_VALUE => {
+                    terminated(take(size), crlf).map(|b| Reply::Bulk(Some(b))).parse_next(input)
+                }
+                Some(_) => fail(),
+            }
+        }
+        b'*' if depth < MOST_DEPTH => {
+            let count = alt((literal(b"-1\r\n").value(0), number)).parse_next(input)?;
+            if count > MOST_WORDS {
+                return fail();
+            }
+            let items: ModalResult<Vec<_>> = (0..count).map(|_| reply(input, depth + 1)).collect();
+            items.map(Reply::Array)
+        }
+        _ => fail(),
+    }
+}
+
+/// The next reply of an instance.
+///
+/// # Errors
+/// Bytes that can never become a reply.
+pub fn instance_reply(bytes: &[u8]) -> Result<Parsed<Reply<'_>>, Malformed> {
+    whole(bytes, reply_of)
+}
+
+fn reply_of<'a>(input: &mut In<'a>) -> ModalResult<Reply<'a>> {
+    reply(input, 0)
+}
+
+/// Appends words as a RESP array of bulk strings.
+pub fn push_words<'a>(out: &mut Vec<u8>, words: impl ExactSizeIterator<Item = &'a [u8]>) {
+    let digits = |sign: u8, n: usize, out: &mut Vec<u8>| {
+        out.push(sign);
+        out.extend_from_slice(n.to_string().as_bytes());
+        out.extend_from_slice(b"\r\n");
+    };
+    digits(b'*', words.len(), out);
+    for word in words {
+        digits(b'$', word.len(), out);
+        out.extend_from_slice(word);
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+/// The list `c=...,t=...` of a command as names and values.
+pub fn terms(text: &str) -> Vec<(String, String)> {
+    let pair = |t: &str| t.split_once('=').map(|(n, v)| (n.to_string(), v.to_string()));
+    text.split(',').filter_map(pair).collect()
+}
+
+/// A platform command's words as a command of the core; `words` begins after the verb.
+///
+/// # Errors
+/// The first value that makes no sense.
+pub fn platform_command(platform: &Platform, safe: bool, words: &[&[u8]]) -> Result<Command, BadCommand> {
+    let text = |i: usize, name| std::str::from_utf8(words[i]).map_err(|_| BadCommand::Term(name));
+    let body = words.get(3).map(|b| b.to_vec());
+    let list = terms(text(2, "terms")?);
+    let command = Command::new(platform, text(0, "customer")?, text(1, "id")?, list, body)?;
+    // Guards the rule on double effects: a class travels under its own verb only.
+    let effect = platform.module.classes[command.ask.class].effect;
+    if (effect == crate::api::Effect::Safe) != safe {
+        return Err(BadCommand::Class);
+    }
+    Ok(command)
+}
+
+/// The same command for an instance, which is told how long this ingress will wait.
+pub fn push_command(out: &mut Vec<u8>, platform: &Platform, command: &Command, wait_ms: f64) {
+    let safe = platform.module.classes[command.ask.class].effect == crate::api::Effect::Safe;
+    let verb: &[u8] = if safe { b"SVC.QUERY" } else { b"SVC.SUBMIT" };
+    let mut list = String::with_capacity(96);
+    for (name, value) in &command.terms {
+        let comma = if list.is_empty() { "" } else { "," };
+        list.push_str(comma);
+        list.push_str(name);
+        list.push('=');
+        if name == "d" {
+            list.push_str(&(wait_ms.max(1.0) as u64).to_string());
+        } else {
+            list.push_str(value);
+        }
+    }
+    let words = [verb, command.customer.as_bytes(), command.id.as_bytes(), list.as_bytes()];
+    match &command.body {
+        Some(body) => {
+            let all = [words[0], words[1], words[2], words[3], body];
+            push_words(out, all.into_iter());
+        }
+        None => push_words(out, words.into_iter()),
+    }
+}
+
+/// An HTTP/1.1 answer.
+#[derive(Debug, PartialEq)]
+pub struct HttpAnswer {
+    /// The status.
+    pub status: u16,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The peer closes after it.
+    pub close: bool,
+}
+
+fn header<'a>(input: &mut In<'a>) -> ModalResult<(&'a [u8], &'a [u8])> {
+    let name = terminated(take_while(1.., |b: u8| b != b':' && b != b'\r' && b != b'\n'), literal(b":"))
+        .parse_next(input)?;
+    let value = line(input)?;
+    Ok((name, value.trim_ascii()))
+}
+
+fn chunked(input: &mut In<'_>) -> ModalResult<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let size: &[u8] = take_while(1..=8, |b: u8| b.is_ascii_hexdigit()).parse_next(input)?;
+        line(input)?;
+        let hex = std::str::from_utf8(size).unwrap_or("");
+        let size = usize::from_str_radix(hex, 16).unwrap_or(usize::MAX);
+        if size > MOST_BODY || body.len() + size > MOST_BODY {
+            return fail();
+        }
+        if size == 0 {
+            while !line(input)?.is_empty() {}
+            return Ok(body);
+        }
+        let part: &[u8] = terminated(take(size), crlf).parse_next(input)?;
+        body.extend_from_slice(part);
+    }
+}
+
+fn answer(input: &mut In<'_>) -> ModalResult<HttpAnswer> {
+    preceded(literal(b"HTTP/1."), take(2usize)).parse_next(input)?;
+    let status: &[u8] = take_while(3..=3, |b: u8| b.is_ascii_digit()).parse_next(input)?;
+    line(input)?;
+    let status = status.iter().fold(0, |n, d| n * 10 + u16::from(d - b'0'));
+    let (mut length, mut in_chunks, mut close) = (0, false, false);
+    for _ in 0..64 {
+        let end: Result<_, ErrMode<ContextError>> = crlf.parse_next(input);
+        match end {
+            Ok(_) => {
+                let body = if in_chunks {
+                    chunked(input)?
+                } else {
+                    let body: &[u8] = take(length).parse_next(input)?;
+                    body.to_vec()
+                };
+                return Ok(HttpAnswer { status, body, close });
+            }
+            Err(ErrMode::Incomplete(n)) => return Err(ErrMode::Incomplete(n)),
+            Err(_) => {}
+        }
+        let (name, value) = header(input)?;
+        if name.eq_ignore_ascii_case(b"content-length") {
+            let text = std::str::from_utf8(value).unwrap_or("");
+            length =
+                text.parse().ok().filter(|n| *n <= MOST_BODY).ok_or(ErrMode::Cut(ContextError::new()))?;
+        } else if name.eq_ignore_ascii_case(b"transfer-encoding") {
+            in_chunks = value.eq_ignore_ascii_case(b"chunked");
+        } else if name.eq_ignore_ascii_case(b"connection") {
+            close = value.eq_ignore_ascii_case(b"close");
+        }
+    }
+    fail()
+}
+
+/// The next HTTP/1.1 answer.
+///
+/// # Errors
+/// Bytes that can never become one.
+pub fn http_answer(bytes: &[u8]) -> Result<Parsed<HttpAnswer>, Malformed> {
+    whole(bytes, answer)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn commands_come_whole_in_parts_or_not_at_all() {
+        let all = b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n";
+        for cut in 0..all.len() {
+            assert_eq!(command_words(&all[..cut]), Ok(Parsed::More), "{cut}");
+        }
+        assert_eq!(command_words(all), Ok(Parsed::Whole(vec![b"PING".as_slice(), b""], all.len())));
+        let bad: [&[u8]; 6] =
+            [b"PING\r\n", b"*0\r\n", b"*99\r\n", b"*1\r\n+x\r\n", b"*1\r\n$65537\r\n", b"*1\r\n$1\r\nabc"];
+        for bytes in bad {
+            assert_eq!(command_words(bytes), Err(Malformed), "{bytes:?}");
+        }
+    }
+
+    #[test]
+    fn replies_and_garbage() {
+        let whole = instance_reply(b"*3\r\n$2\r\nhi\r\n$-1\r\n*-1\r\n");
+        let items = vec![Reply::Bulk(Some(b"hi")), Reply::Bulk(None), Reply::Array(vec![])];
+        assert_eq!(whole, Ok(Parsed::Whole(Reply::Array(items), 22)));
+        assert_eq!(instance_reply(b"-BUSY\r\n"), Ok(Parsed::Whole(Reply::Error(b"BUSY"), 7)));
+        assert_eq!(instance_reply(b"!what"), Err(Malformed));
+        assert_eq!(instance_reply(b"*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n"), Err(Malformed));
+    }
+
+    #[test]
+    fn http_answers() {
+        let all = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n-42";
+        for cut in 0..all.len() {
+            assert_eq!(http_answer(&all[..cut]), Ok(Parsed::More), "{cut}");
+        }
+        let want = HttpAnswer { status: 200, body: b"-42".to_vec(), close: true };
+        assert_eq!(http_answer(all), Ok(Parsed::Whole(want, all.len())));
+        let parts = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+        let want = HttpAnswer { status: 200, body: b"abc".to_vec(), close: false };
+        assert_eq!(http_answer(parts), Ok(Parsed::Whole(want, parts.len())));
+        assert_eq!(http_answer(b"SSH-2.0-x\r\n"), Err(Malformed));
+        assert_eq!(http_answer(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"), Err(Malformed));
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use std::collections::BTreeMap;
 use driftgap::*;
+use std::collections::BTreeMap;
 
 /// What the counter does to a call.
 #[derive(Clone, Copy, PartialEq)]
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use common::*;
+use driftgap::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
-use driftgap::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,9 +3,9 @@
 #[path = "../src/bin/driftgap-adapter/wire.rs"]
 mod wire;
 
+use driftgap::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
-use driftgap::*;
 use wire::{encode, Reader, Record};
 
 fn bytes(hex: &str) -> Vec<u8> {
