--- /dev/null
+++ b/src/front/http2.rs
@@ -0,0 +1,287 @@
+//! The second front: HTTP/2 in the clear with prior knowledge, on the `h2` crate. It owns its listening
+//! socket, the wording of commands and answers as headers, and the bounds on streams, headers, bodies and
+//! resets. It must never keep rules of its own: a stream becomes a command of the core like any other, a
+//! reset means that the service client has gone. One rule of the house is given up here: h2 keeps its own
+//! buffers, so a connection has no ring; the bounds below take its place.
+
+use super::ServiceClient;
+use crate::core::{Answer, BadCommand, Command};
+use crate::node::Hub;
+use crate::wire::MOST_VALUE;
+use crate::wire_http2::{collect, list, plain, push_body, text, wording, COMMANDS, CUSTOMER, ID};
+use bytes::Bytes;
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream};
+use http::{Method, Request, Response, StatusCode};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, Notify};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Longest header list of one request.
+const MOST_HEADERS: u32 = 16 * 1024;
+/// Bytes that one connection may have sent us unread, and may keep for us to send.
+const WINDOW: u32 = 256 * 1024;
+const MOST_UNSENT: usize = 256 * 1024;
+/// Resets that h2 remembers or has not handed over yet.
+const MOST_RESETS: usize = 64;
+/// Streams that a client may reset unanswered within a span, ms, before its connection is ended.
+const RESETS: (u32, f64) = (200, 10_000.0);
+/// A client that does not complete its preface, or read its answer, within this is cut off.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Bounds of the front, from the operator's file.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Streams open on one connection.
+    pub streams: u32,
+    /// Connections.
+    pub connections: usize,
+}
+
+struct Connection {
+    leave: Notify,
+    flood: Notify,
+    streams: Cell<usize>,
+    used: Cell<f64>,
+    /// Resets since a time.
+    resets: Cell<(u32, f64)>,
+}
+
+/// The front.
+pub struct Http2Front {
+    hub: Rc<Hub>,
+    limits: Limits,
+    connections: RefCell<HashMap<u64, Weak<Connection>>>,
+    next: Cell<u64>,
+}
+
+impl Http2Front {
+    /// A front with these bounds.
+    pub fn new(hub: Rc<Hub>, limits: Limits) -> Rc<Http2Front> {
+        Rc::new(Http2Front { hub, limits, connections: RefCell::default(), next: Cell::new(0) })
+    }
+
+    /// Takes in connections until its task is ended.
+    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.open(stream),
+                Err(e) => {
+                    log::warn!("accept: {e}");
+                    self.shed();
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        }
+    }
+
+    fn open(self: &Rc<Self>, stream: TcpStream) {
+        if self.connections.borrow().len() >= self.limits.connections {
+            self.shed();
+        }
+        let connection = Rc::new(Connection {
+            leave: Notify::new(),
+            flood: Notify::new(),
+            streams: Cell::new(0),
+            used: Cell::new(self.hub.now()),
+            resets: Cell::new((0, self.hub.now())),
+        });
+        let number = self.next.get();
+        self.next.set(number + 1);
+        self.connections.borrow_mut().insert(number, Rc::downgrade(&connection));
+        let front = self.clone();
+        spawn_local(async move {
+            let _ = stream.set_nodelay(true);
+            if let Err(e) = serve(&front, &connection, stream).await {
+                log::debug!("http2 client: {e}");
+            }
+            front.connections.borrow_mut().remove(&number);
+        });
+    }
+
+    /// Ends the connection that has been idle for longest.
+    fn shed(&self) {
+        let connections = self.connections.borrow();
+        let idle = connections.values().filter_map(Weak::upgrade).filter(|c| c.streams.get() == 0);
+        if let Some(connection) = idle.min_by(|a, b| a.used.get().total_cmp(&b.used.get())) {
+            connection.leave.notify_one();
+        }
+    }
+
+    /// Sends GOAWAY everywhere; open streams are finished.
+    pub fn leave(&self) {
+        let all: Vec<_> = self.connections.borrow().values().filter_map(Weak::upgrade).collect();
+        all.iter().for_each(|c| c.leave.notify_one());
+    }
+
+    /// Connections held.
+    pub fn connections(&self) -> usize {
+        self.connections.borrow().len()
+    }
+}
+
+async fn serve(front: &Rc<Http2Front>, this: &Rc<Connection>, stream: TcpStream) -> Result<(), h2::Error> {
+    let mut builder = h2::server::Builder::new();
+    builder
+        .max_concurrent_streams(front.limits.streams)
+        .max_header_list_size(MOST_HEADERS)
+        .initial_window_size(MOST_VALUE as u32 + 1024)
+        .initial_connection_window_size(WINDOW)
+        .max_send_buffer_size(MOST_UNSENT)
+        .max_concurrent_reset_streams(MOST_RESETS)
+        .max_pending_accept_reset_streams(MOST_RESETS)
+        .max_local_error_reset_streams(Some(MOST_RESETS));
+    let Ok(connection) = timeout(PATIENCE, builder.handshake::<_, Bytes>(stream)).await else {
+        return Ok(());
+    };
+    let mut connection = connection?;
+    loop {
+        tokio::select! {
+            next = connection.accept() => match next {
+                Some(next) => {
+                    let (request, respond) = next?;
+                    this.streams.set(this.streams.get() + 1);
+                    this.used.set(front.hub.now());
+                    let (hub, this) = (front.hub.clone(), this.clone());
+                    spawn_local(async move {
+                        stream_task(&hub, &this, request, respond).await;
+                        this.streams.set(this.streams.get() - 1);
+                        this.used.set(hub.now());
+                    });
+                }
+                None => return Ok(()),
+            },
+            () = this.leave.notified() => connection.graceful_shutdown(),
+            // Guards against a client that opens and resets streams for ever: each costs an attempt.
+            () = this.flood.notified() => connection.abrupt_shutdown(Reason::ENHANCE_YOUR_CALM),
+        }
+    }
+}
+
+/// One stream, from its headers to its answer.
+async fn stream_task(
+    hub: &Rc<Hub>,
+    this: &Rc<Connection>,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) {
+    let arrived = hub.now();
+    let taken = match take(hub, request).await {
+        Ok(Wanted::Command(mut command)) => {
+            // The wait counts from the client's send, not from the body's end.
+            command.patience_ms -= hub.now() - arrived;
+            command
+        }
+        Ok(Wanted::Word(status, word)) => return send(respond, plain(status), word.into()).await,
+        Err(Refused::Reset(reason)) => return respond.send_reset(reason),
+        Err(Refused::Status(status, why)) => return send(respond, plain(status), why.into()).await,
+    };
+    let (tell, mut told) = oneshot::channel();
+    let id = Cell::new(0);
+    hub.arrive(*taken, Rc::new(Waiting(RefCell::new(Some(tell)))), 0, |number| id.set(number));
+    let answer = tokio::select! {
+        biased;
+        answer = &mut told => answer,
+        _ = poll_fn(|cx| respond.poll_reset(cx)) => {
+            hub.client_gone(id.get());
+            return count_reset(hub, this);
+        }
+    };
+    if let Ok(answer) = answer {
+        let (response, body) = wording(answer);
+        send(respond, response, body).await;
+    }
+}
+
+/// A stream that waits for its answer.
+struct Waiting(RefCell<Option<oneshot::Sender<Answer>>>);
+
+impl ServiceClient for Waiting {
+    fn answer(&self, _: u64, answer: Answer) {
+        if let Some(tell) = self.0.borrow_mut().take() {
+            // A stream that has just gone does not mind.
+            let _ = tell.send(answer);
+        }
+    }
+}
+
+fn count_reset(hub: &Hub, this: &Connection) {
+    let (now, (count, since)) = (hub.now(), this.resets.get());
+    let (count, since) = if now - since > RESETS.1 { (1, now) } else { (count + 1, since) };
+    this.resets.set((count, since));
+    if count > RESETS.0 {
+        this.flood.notify_one();
+    }
+}
+
+enum Wanted {
+    Command(Box<Command>),
+    Word(StatusCode, &'static str),
+}
+
+enum Refused {
+    Status(StatusCode, String),
+    Reset(Reason),
+}
+
+fn bad(why: impl ToString) -> Refused {
+    Refused::Status(StatusCode::BAD_REQUEST, why.to_string())
+}
+
+async fn take(hub: &Hub, request: Request<RecvStream>) -> Result<Wanted, Refused> {
+    let (head, mut stream) = request.into_parts();
+    let Some(class) = head.uri.path().strip_prefix(COMMANDS) else {
+        return Ok(match head.uri.path() {
+            "/-/ready" if hub.can_serve() => Wanted::Word(StatusCode::OK, "ready"),
+            "/-/ready" => Wanted::Word(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            "/-/healthy" => Wanted::Word(StatusCode::OK, "healthy"),
+            _ => Wanted::Word(StatusCode::NOT_FOUND, "no such path"),
+        });
+    };
+    if head.method != Method::POST && head.method != Method::GET {
+        return Err(Refused::Status(StatusCode::METHOD_NOT_ALLOWED, "POST or GET".into()));
+    }
+    let (list, wait) = list(&head.headers, class).map_err(bad)?;
+    let body = timeout(Duration::from_secs_f64(wait / 1e3), read_body(&mut stream)).await;
+    let body = body.map_err(|_| Refused::Reset(Reason::CANCEL))??;
+    let header = |name| text(&head.headers, name).map_err(bad);
+    let (customer, id) = (header(CUSTOMER)?, header(ID)?);
+    let command = Command::new(hub.platform(), customer, id, list, body);
+    match command {
+        Ok(command) => Ok(Wanted::Command(Box::new(command))),
+        // As on every wire, these have failed; what is malformed is told from them.
+        Err(e @ (BadCommand::Class | BadCommand::Plan | BadCommand::Term("units"))) => {
+            Err(Refused::Status(StatusCode::BAD_GATEWAY, e.to_string()))
+        }
+        Err(e) => Err(bad(e)),
+    }
+}
+
+async fn read_body(stream: &mut RecvStream) -> Result<Option<Vec<u8>>, Refused> {
+    if stream.is_end_stream() {
+        return Ok(None);
+    }
+    match collect(stream).await {
+        Ok(body) => Ok(Some(body)),
+        Err(Some(_)) => Err(Refused::Reset(Reason::CANCEL)),
+        Err(None) => Err(Refused::Status(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long".into())),
+    }
+}
+
+/// Sends an answer as the client's window allows; one that does not read it is cut off.
+async fn send(mut respond: SendResponse<Bytes>, response: Response<()>, body: Bytes) {
+    let Ok(mut stream) = respond.send_response(response, body.is_empty()) else { return };
+    if body.is_empty() {
+        return;
+    }
+    let all = timeout(PATIENCE, push_body(&mut stream, body)).await;
+    if all.is_err() {
+        stream.send_reset(Reason::CANCEL);
+    }
+}
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,6 +1,7 @@
 //! The fronts: how service clients reach the core. Each owns the listening, the connections and the wording
 //! of its wire; none decides anything or knows another's wire.
 
+pub mod http2;
 pub mod resp;
 
 use crate::core::Answer;
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -60,7 +60,7 @@
     }
 
     /// Takes in connections until its task is ended.
-    pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>) {
+    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => self.open(stream),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -107,11 +107,13 @@
 pub mod front;
 pub mod name_table;
 pub mod node;
+pub mod operator;
 pub mod ring;
 pub mod settings;
 mod state;
 pub mod upstream;
 pub mod wire;
+pub mod wire_http2;
 
 pub use api::*;
 pub use balance::Gateway;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,17 +2,23 @@
 //! environment, exit code) and nothing else.
 
 use driftgap::node;
+use driftgap::operator::Operator;
 use driftgap::settings::Config;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 fn start() -> Result<(), String> {
     let path = std::env::var("EDGE_CONFIG").map_err(|_| "EDGE_CONFIG: not set".to_string())?;
     let text = std::fs::read_to_string(&path).map_err(|e| format!("EDGE_CONFIG: {path}: {e}"))?;
     let config = Config::parse(&text).map_err(|e| format!("EDGE_CONFIG: {e}"))?;
+    let operator = match std::env::var_os("DRIFTGAP_OPERATOR").map(PathBuf::from) {
+        Some(path) => Operator::read(&path).map_err(|e| format!("{}: {e}", path.display()))?,
+        None => Operator::default(),
+    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
     let local = tokio::task::LocalSet::new();
-    runtime.block_on(local.run_until(node::run(config))).map_err(|e| e.to_string())
+    runtime.block_on(local.run_until(node::run(config, operator))).map_err(|e| e.to_string())
 }
 
 fn main() -> ExitCode {
--- a/src/node.rs
+++ b/src/node.rs
@@ -7,9 +7,11 @@
 use crate::core::{Command, Core, Effect};
 use crate::counter::{Counter, LANES};
 use crate::facade::{CommandId, Facade};
+use crate::front::http2::Http2Front;
 use crate::front::resp::RespFront;
 use crate::front::ServiceClient;
 use crate::name_table::{follow, NameTable};
+use crate::operator::Operator;
 use crate::settings::{Config, Platform};
 use crate::upstream::Upstream;
 use std::cell::{Cell, RefCell, RefMut};
@@ -216,48 +218,66 @@
 ///
 /// # Errors
 /// What keeps it from starting.
-pub async fn run(config: Config) -> Result<(), StartError> {
+pub async fn run(config: Config, operator: Operator) -> Result<(), StartError> {
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let hub = Hub::new(&config, Clock::system())?;
     if !config.known.is_null() {
         let news = hub.table().take(&config.known)?;
         hub.with_core(|core, now| core.names(now, ListKind::Cached, news.entries));
     }
-    let listener = TcpListener::bind(config.listen).await;
-    let listener = Rc::new(listener.map_err(|e| StartError::Listen(config.listen, e))?);
+    let listener = bind(config.listen).await?;
+    let second = match &operator.http2 {
+        Some(http2) => Some((bind(http2.listen).await?, Http2Front::new(hub.clone(), http2.limits()))),
+        None => None,
+    };
     spawn_local(hub.clone().keep_time());
     if let Some(agent) = config.discovery {
         spawn_local(follow(hub.clone(), agent));
     }
-    let clients = config.sockets.saturating_sub(OTHERS) * 3 / 5;
+    let streams = operator.http2.as_ref().map_or(0, |http2| http2.connections);
+    let clients = (config.sockets.saturating_sub(OTHERS) * 3 / 5).saturating_sub(streams).max(16);
     let front = RespFront::new(hub.clone(), clients);
-    let accepting = spawn_local(front.clone().listen(listener.clone()));
+    let mut accepting = vec![spawn_local(front.clone().listen(listener))];
     log::info!("{} listens on {}", config.name, config.listen);
+    let second = second.map(|(listener, front)| {
+        accepting.push(spawn_local(front.clone().listen(listener)));
+        front
+    });
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    drain(&hub, &front, accepting, listener).await;
+    drain(&hub, &front, second.as_ref(), accepting).await;
     Ok(())
 }
 
+async fn bind(addr: std::net::SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr).await.map_err(|e| StartError::Listen(addr, e))
+}
+
 /// Finishes what was taken, closes what is idle, and ends in time.
 async fn drain(
     hub: &Rc<Hub>,
     front: &Rc<RespFront>,
-    accepting: tokio::task::JoinHandle<()>,
-    listener: Rc<TcpListener>,
+    second: Option<&Rc<Http2Front>>,
+    accepting: Vec<tokio::task::JoinHandle<()>>,
 ) {
+    let connections = || front.connections() + second.map_or(0, |s| s.connections());
     let begun = hub.now();
-    log::info!("stopping: {} commands owed, {} clients", hub.core.borrow().owed(), front.connections());
+    log::info!("stopping: {} commands owed, {} clients", hub.core.borrow().owed(), connections());
     tokio::time::sleep_until(hub.clock.instant(begun + ACCEPT_MS).into()).await;
-    accepting.abort();
-    let _ = accepting.await;
-    drop(listener);
+    // The listeners close with their tasks.
+    for task in accepting {
+        task.abort();
+        let _ = task.await;
+    }
     front.leave();
+    if let Some(second) = second {
+        second.leave();
+    }
     let longest = hub.platform.module.classes.iter().map(|c| c.deadline * 1e3).fold(0.0, f64::max);
     let last = begun + longest.min(STOP_MS.0) + STOP_MS.1;
-    while front.connections() > 0 && hub.now() < last {
+    while connections() > 0 && hub.now() < last {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     hub.log_figures();
--- /dev/null
+++ b/src/operator.rs
@@ -0,0 +1,89 @@
+//! The operator's file: what an operator sets up beyond what the platform tells an ingress. It owns the names
+//! of its fields and the one-line message on a wrong one. It must never be needed on the platform, and
+//! never repeat a setting of the platform's.
+
+use crate::front::http2::Limits;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// A file that cannot be used; the text names the field.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct OperatorError(pub String);
+
+/// The file.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// The HTTP/2 front; off where it is absent.
+    pub http2: Option<Http2>,
+}
+
+/// The HTTP/2 front.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Http2 {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Most open streams on one connection.
+    #[serde(default = "streams")]
+    pub streams: u32,
+    /// Most connections.
+    #[serde(default = "connections")]
+    pub connections: usize,
+}
+
+fn streams() -> u32 {
+    128
+}
+
+fn connections() -> usize {
+    64
+}
+
+impl Http2 {
+    /// The front's bounds.
+    pub fn limits(&self) -> Limits {
+        Limits { streams: self.streams, connections: self.connections }
+    }
+}
+
+impl Operator {
+    /// The file's content from its text.
+    ///
+    /// # Errors
+    /// The first field that makes no sense.
+    pub fn parse(text: &str) -> Result<Operator, OperatorError> {
+        let value = toml::Deserializer::parse(text).map_err(|e| one_line(&e, text))?;
+        let operator: Operator = serde_path_to_error::deserialize(value).map_err(|e| {
+            let path = e.path().to_string();
+            let problem = one_line(e.inner(), text);
+            OperatorError(format!("{path}: {problem}"))
+        })?;
+        let wrong = |field: &str, problem: &str| Err(OperatorError(format!("{field}: {problem}")));
+        if let Some(http2) = &operator.http2 {
+            if http2.streams == 0 || http2.streams > 10_000 {
+                return wrong("http2.streams", "must be from 1 to 10000");
+            }
+            if http2.connections == 0 || http2.connections > 10_000 {
+                return wrong("http2.connections", "must be from 1 to 10000");
+            }
+        }
+        Ok(operator)
+    }
+
+    /// Reads the file.
+    ///
+    /// # Errors
+    /// It cannot be read, or a field makes no sense.
+    pub fn read(path: &Path) -> Result<Operator, OperatorError> {
+        let text = std::fs::read_to_string(path).map_err(|e| OperatorError(e.to_string()))?;
+        Operator::parse(&text)
+    }
+}
+
+fn one_line(error: &toml::de::Error, text: &str) -> OperatorError {
+    let line = error.span().map_or(0, |span| text[..span.start.min(text.len())].lines().count().max(1));
+    OperatorError(format!("line {line}: {}", error.message().replace('\n', " ")))
+}
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -6,11 +6,15 @@
 use crate::api::Outcome;
 use crate::core::{End, Start};
 use crate::facade::{CommandId, InstanceId};
-use crate::name_table::{Instance, Speaks};
+use crate::name_table::Speaks;
 use crate::node::Hub;
 use crate::ring::Ring;
 use crate::settings::Platform;
 use crate::wire::{instance_reply, push_command, push_words, Parsed, Reply};
+use crate::wire_http2;
+use bytes::Bytes;
+use h2::client::SendRequest;
+use h2::SendStream;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -67,15 +71,36 @@
 #[derive(Default)]
 struct Pool {
     idle: Vec<Idle>,
+    shared: Option<Shared>,
     open: Rc<Cell<usize>>,
     /// Most connections, as learnt, and when it was last changed.
     cap: Option<(usize, f64)>,
 }
 
+/// A connection that carries many attempts: HTTP/2.
+#[derive(Clone)]
+struct Shared {
+    send: SendRequest<Bytes>,
+    /// When the instance last answered on it, and when an attempt last used it.
+    heard: Rc<Cell<f64>>,
+    used: Rc<Cell<f64>>,
+    up: Rc<Cell<bool>>,
+}
+
+/// How an attempt is abandoned at once.
+enum Abandon {
+    Close(Rc<Link>),
+    Reset(SendStream<Bytes>),
+}
+
+type Handle = Rc<RefCell<Option<Abandon>>>;
+
 /// An attempt under way.
 struct Running {
     task: AbortHandle,
-    link: Rc<RefCell<Option<Rc<Link>>>>,
+    handle: Handle,
+    instance: InstanceId,
+    since: f64,
 }
 
 /// All connections to instances.
@@ -109,22 +134,39 @@
     /// Starts an attempt; its end is told to the hub.
     pub fn start(&self, hub: &Rc<Hub>, attempt: Start) {
         let key = (attempt.id, attempt.attempt);
-        let link = Rc::new(RefCell::new(None));
-        let (held, hub) = (link.clone(), hub.clone());
+        let (instance, since) = (attempt.instance, hub.now());
+        let handle = Handle::default();
+        let (held, hub) = (handle.clone(), hub.clone());
         let task = spawn_local(async move {
-            let end = run(&hub, &attempt, &held).await;
+            let at = hub.table().instance(attempt.instance).map(|i| (i.addr, i.speaks));
+            let end = match at {
+                Some((addr, Speaks::Resp)) => run(&hub, &attempt, addr, &held).await,
+                Some((addr, Speaks::Http2)) => run_http2(&hub, &attempt, addr, &held).await,
+                None => End::without(Outcome::ConnectFailed),
+            };
             hub.upstream().running.borrow_mut().remove(&(attempt.id, attempt.attempt));
             hub.with_core(|core, now| core.attempt_ended(now, attempt.id, attempt.attempt, end));
         });
-        self.running.borrow_mut().insert(key, Running { task: task.abort_handle(), link });
+        self.running.borrow_mut().insert(key, Running { task: task.abort_handle(), handle, instance, since });
     }
 
     /// Abandons an attempt. Its sending is ended here and now, not when the task is next looked at: a further
     /// attempt of the same command must never overlap with it.
     pub fn abandon(&self, id: CommandId, number: u32) {
         let Some(running) = self.running.borrow_mut().remove(&(id, number)) else { return };
-        if let Some(link) = running.link.borrow_mut().take() {
-            let _ = socket2::SockRef::from(&link.stream).shutdown(std::net::Shutdown::Both);
+        match running.handle.borrow_mut().take() {
+            Some(Abandon::Close(link)) => {
+                let _ = socket2::SockRef::from(&link.stream).shutdown(std::net::Shutdown::Both);
+            }
+            Some(Abandon::Reset(mut stream)) => {
+                stream.send_reset(h2::Reason::CANCEL);
+                // Guards against a machine that is cut off: a shared connection that has said nothing since
+                // gets no further attempts.
+                if let Some(pool) = self.pools.borrow_mut().get_mut(&running.instance) {
+                    pool.shared.take_if(|shared| shared.heard.get() < running.since);
+                }
+            }
+            None => {}
         }
         running.task.abort();
     }
@@ -144,6 +186,7 @@
     pub fn release(&self, instance: InstanceId) {
         if let Some(pool) = self.pools.borrow_mut().get_mut(&instance) {
             pool.idle.clear();
+            pool.shared = None;
         }
     }
 
@@ -152,6 +195,7 @@
         let mut pools = self.pools.borrow_mut();
         for pool in pools.values_mut() {
             pool.idle.retain(|idle| now - idle.since < self.retire_ms);
+            pool.shared.take_if(|shared| now - shared.used.get() >= self.retire_ms || !shared.up.get());
         }
         pools.retain(|_, pool| pool.open.get() > 0 || pool.cap.is_some());
     }
@@ -285,15 +329,96 @@
     }
 }
 
-async fn run(hub: &Rc<Hub>, attempt: &Start, held: &RefCell<Option<Rc<Link>>>) -> End {
-    let Some(Instance { addr, speaks: Speaks::Resp, .. }) = hub.table().instance(attempt.instance).cloned()
-    else {
-        return End::without(Outcome::ConnectFailed);
+/// The connection that an instance's HTTP/2 attempts share, opened where there is none.
+async fn shared(hub: &Rc<Hub>, instance: InstanceId, addr: SocketAddr) -> Option<Shared> {
+    let upstream = hub.upstream();
+    let known = upstream.pools.borrow().get(&instance).and_then(|pool| pool.shared.clone());
+    if let Some(shared) = known.filter(|shared| shared.up.get()) {
+        return Some(shared);
+    }
+    let seat = upstream.seat(hub.now(), instance)?;
+    let dial = async {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        h2::client::Builder::new().enable_push(false).handshake::<_, Bytes>(stream).await.ok()
+    };
+    let Ok(Some((send, connection))) = timeout(upstream.dial, dial).await else {
+        upstream.refused(hub.now(), instance);
+        return None;
+    };
+    let now = hub.now();
+    let up = Rc::new(Cell::new(true));
+    let (heard, used) = (Rc::new(Cell::new(now)), Rc::new(Cell::new(now)));
+    let shared = Shared { send, heard, used, up: up.clone() };
+    spawn_local(async move {
+        let _seat = seat;
+        if let Err(e) = connection.await {
+            log::debug!("http2 instance: {e}");
+        }
+        up.set(false);
+    });
+    if let Some(pool) = upstream.pools.borrow_mut().get_mut(&instance) {
+        pool.shared.take_if(|shared| !shared.up.get());
+        pool.shared.get_or_insert_with(|| shared.clone());
+    }
+    Some(shared)
+}
+
+async fn run_http2(hub: &Rc<Hub>, attempt: &Start, addr: SocketAddr, held: &Handle) -> End {
+    let never = End::without(Outcome::ConnectFailed);
+    let Some(shared) = shared(hub, attempt.instance, addr).await else { return never };
+    let Ok(mut send) = shared.send.clone().ready().await else {
+        // The connection takes no new streams: the next attempt opens another.
+        shared.up.set(false);
+        return never;
+    };
+    let now = hub.now();
+    shared.used.set(now);
+    let wait = attempt.until - now;
+    let Ok(request) = wire_http2::request(hub.platform(), &attempt.command, wait) else { return never };
+    let body = attempt.command.body.as_ref();
+    let Ok((response, mut stream)) = send.send_request(request, body.is_none()) else {
+        shared.up.set(false);
+        return never;
+    };
+    if let Some(body) = body {
+        // A failure here shows in the response.
+        let _ = stream.send_data(Bytes::copy_from_slice(body), true);
+    }
+    *held.borrow_mut() = Some(Abandon::Reset(stream));
+    let end = answer_http2(hub.platform(), response).await;
+    held.borrow_mut().take();
+    let now = hub.now();
+    shared.used.set(now);
+    if end.outcome != Outcome::Reset {
+        shared.heard.set(now);
+    }
+    end
+}
+
+async fn answer_http2(platform: &Platform, response: h2::client::ResponseFuture) -> End {
+    let (head, mut stream) = match response.await {
+        Ok(response) => response.into_parts(),
+        Err(e) => return End::without(wire_http2::broken(&e)),
     };
+    let report = head.headers.get(wire_http2::LOAD);
+    let load = report.map_or(Vec::new(), |report| load(platform, report.as_bytes()));
+    let outcome = wire_http2::outcome(head.status, &head.headers);
+    if outcome != Outcome::Ok {
+        return End { outcome, value: None, load };
+    }
+    match wire_http2::collect(&mut stream).await {
+        Ok(value) => End { outcome, value: Some(value), load },
+        // It has begun to answer, so it ran, whatever ended the stream.
+        Err(_) => End::without(Outcome::Reset),
+    }
+}
+
+async fn run(hub: &Rc<Hub>, attempt: &Start, addr: SocketAddr, held: &Handle) -> End {
     let Some(link) = connect(hub, attempt.instance, addr).await else {
         return End::without(Outcome::ConnectFailed);
     };
-    *held.borrow_mut() = Some(link.clone());
+    *held.borrow_mut() = Some(Abandon::Close(link.clone()));
     let now = hub.now();
     let mut bytes = Vec::with_capacity(256);
     push_command(&mut bytes, hub.platform(), &attempt.command, attempt.until - now);
@@ -360,8 +485,11 @@
 
 async fn probe(hub: &Rc<Hub>, instance: InstanceId) -> (Outcome, Vec<f64>) {
     let failed = (Outcome::ConnectFailed, Vec::new());
-    let Some(Instance { addr, speaks: Speaks::Resp, .. }) = hub.table().instance(instance).cloned() else {
-        return failed;
+    let at = hub.table().instance(instance).map(|i| (i.addr, i.speaks));
+    let addr = match at {
+        Some((addr, Speaks::Resp)) => addr,
+        Some((addr, Speaks::Http2)) => return probe_http2(hub, instance, addr).await,
+        None => return failed,
     };
     let Some(link) = connect(hub, instance, addr).await else { return failed };
     let mut bytes = Vec::new();
@@ -382,3 +510,20 @@
         None => (Outcome::Reset, Vec::new()),
     }
 }
+
+async fn probe_http2(hub: &Rc<Hub>, instance: InstanceId, addr: SocketAddr) -> (Outcome, Vec<f64>) {
+    let failed = (Outcome::ConnectFailed, Vec::new());
+    let Some(shared) = shared(hub, instance, addr).await else { return failed };
+    let Ok(mut send) = shared.send.clone().ready().await else { return failed };
+    let Ok(request) = http::Request::get("http://instance/-/load").body(()) else { return failed };
+    let Ok((response, _)) = send.send_request(request, true) else { return failed };
+    let Ok(response) = response.await else { return (Outcome::Reset, Vec::new()) };
+    let (head, mut stream) = response.into_parts();
+    match wire_http2::collect(&mut stream).await {
+        Ok(report) if head.status == http::StatusCode::OK => {
+            shared.heard.set(hub.now());
+            (Outcome::Ok, load(hub.platform(), &report))
+        }
+        _ => (Outcome::Error, Vec::new()),
+    }
+}
--- /dev/null
+++ b/src/wire_http2.rs
@@ -0,0 +1,173 @@
+//! Commands, answers and replies as HTTP/2 carries them, for the front and for instances alike. It owns the
+//! names of the headers (README documents them), the bounds on bodies, and the word on which failures prove
+//! that a command never ran. It must never open a connection or decide about a command.
+
+use crate::api::{Effect, Outcome};
+use crate::core::{Answer, Command};
+use crate::front::advice;
+use crate::settings::Platform;
+use crate::wire::{terms, MOST_VALUE};
+use bytes::Bytes;
+use h2::{Reason, RecvStream};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use std::future::poll_fn;
+
+/// Where commands go, followed by the class.
+pub const COMMANDS: &str = "/commands/";
+/// The partner, 16 hexadecimal digits.
+pub const CUSTOMER: &str = "api-customer";
+/// The command's id.
+pub const ID: &str = "req-id";
+/// The partner's plan.
+pub const PLAN: &str = "api-plan";
+/// How long the sender will wait, ms, counted from its send.
+pub const DEADLINE: &str = "req-deadline-ms";
+/// `1` marks a client's retry.
+pub const RETRY: &str = "req-retry";
+/// The other names and values: `units=2,spread=3,first=1`.
+pub const TERMS: &str = "api-terms";
+/// Beside `retry-after`, which counts whole seconds: the advice in milliseconds.
+pub const RETRY_MS: &str = "retry-after-ms";
+/// From an instance: the command was turned away unseen and never ran.
+pub const DECLINED: &str = "srv-declined";
+/// From an instance: its load report.
+pub const LOAD: &str = "srv-load";
+
+/// A request that is no command; the text names the header.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct BadRequest(pub String);
+
+/// A header that must be there.
+///
+/// # Errors
+/// It is not, or is no text.
+pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, BadRequest> {
+    let value = headers.get(name).ok_or_else(|| BadRequest(format!("{name} is missing")))?;
+    value.to_str().map_err(|_| BadRequest(format!("{name} is not text")))
+}
+
+/// The names and values of a command from its headers, and how long the sender waits, ms.
+///
+/// # Errors
+/// The header that makes no sense.
+pub fn list(headers: &HeaderMap, class: &str) -> Result<(Vec<(String, String)>, f64), BadRequest> {
+    let deadline = text(headers, DEADLINE)?;
+    let ms: f64 = deadline.parse().map_err(|_| BadRequest(format!("{DEADLINE} is not a number")))?;
+    if !(0.0..=3.6e6).contains(&ms) {
+        return Err(BadRequest(format!("{DEADLINE} is out of range")));
+    }
+    let pair = |name: &str, value: &str| (name.to_string(), value.to_string());
+    let mut list = vec![pair("c", class), pair("t", text(headers, PLAN)?), pair("d", deadline)];
+    let reserved = |name: &str| ["c", "t", "d", "r"].contains(&name);
+    list.extend(terms(text(headers, TERMS)?).into_iter().filter(|(name, _)| !reserved(name)));
+    // A value with a comma would become a further term on the platform's wire.
+    if list.iter().any(|(_, value)| value.contains(',')) {
+        return Err(BadRequest("a value holds a comma".into()));
+    }
+    if headers.get(RETRY).is_some_and(|r| r == "1") {
+        list.push(pair("r", "1"));
+    }
+    Ok((list, ms))
+}
+
+/// A command as a request to an instance, which is told how long this ingress will wait.
+///
+/// # Errors
+/// A value that no header can hold.
+pub fn request(platform: &Platform, command: &Command, wait_ms: f64) -> Result<Request<()>, http::Error> {
+    let class = command.ask.class;
+    let safe = platform.module.classes[class].effect == Effect::Safe;
+    let method = if safe && command.body.is_none() { Method::GET } else { Method::POST };
+    let others = command.terms.iter().filter(|(name, _)| !["c", "t", "d", "r"].contains(&name.as_str()));
+    let list: Vec<String> = others.map(|(name, value)| format!("{name}={value}")).collect();
+    let mut request = Request::builder()
+        .method(method)
+        .uri(format!("http://instance{COMMANDS}{}", platform.classes[class]))
+        .header(CUSTOMER, &command.customer)
+        .header(ID, &command.id)
+        .header(PLAN, &platform.plans[command.ask.plan])
+        .header(DEADLINE, wait_ms.max(1.0) as u64)
+        .header(TERMS, list.join(","));
+    if command.ask.repeat {
+        request = request.header(RETRY, "1");
+    }
+    request.body(())
+}
+
+/// What an instance's status means; 200 is served once its body is whole.
+pub fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+    let turned_away = status == StatusCode::TOO_MANY_REQUESTS || status == StatusCode::SERVICE_UNAVAILABLE;
+    match status {
+        StatusCode::OK => Outcome::Ok,
+        // A bare 503 may come from anything on the way; only the header says that nothing ran.
+        _ if turned_away && headers.contains_key(DECLINED) => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// What a broken stream proves. h2 gives the peer's GOAWAY as a stream's error to streams above its last id
+/// alone; those at or below it end with an error of the connection, and may have run.
+pub fn broken(error: &h2::Error) -> Outcome {
+    let refused = error.is_reset() && error.reason() == Some(Reason::REFUSED_STREAM);
+    match error.is_remote() {
+        true if refused => Outcome::Full,
+        true if error.is_go_away() => Outcome::ConnectFailed,
+        _ => Outcome::Reset,
+    }
+}
+
+/// A whole body.
+///
+/// # Errors
+/// What ended the stream; none: the body is longer than any value may be.
+pub async fn collect(stream: &mut RecvStream) -> Result<Vec<u8>, Option<h2::Error>> {
+    let mut body = Vec::new();
+    while let Some(part) = stream.data().await {
+        let part = part.map_err(Some)?;
+        if body.len() + part.len() > MOST_VALUE {
+            return Err(None);
+        }
+        body.extend_from_slice(&part);
+        stream.flow_control().release_capacity(part.len()).map_err(Some)?;
+    }
+    Ok(body)
+}
+
+/// An answer with a status alone.
+pub fn plain(status: StatusCode) -> Response<()> {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer as a status, headers and a body.
+pub fn wording(answer: Answer) -> (Response<()>, Bytes) {
+    match answer {
+        Answer::Served(value) => (plain(StatusCode::OK), value.into()),
+        Answer::Nack { after_ms } => {
+            let mut response = plain(StatusCode::TOO_MANY_REQUESTS);
+            let ms = advice(after_ms).unwrap_or(0);
+            response.headers_mut().insert("retry-after", ms.div_ceil(1000).max(1).into());
+            if ms > 0 {
+                response.headers_mut().insert(RETRY_MS, ms.into());
+            }
+            (response, Bytes::new())
+        }
+        Answer::Failed { late: true } => (plain(StatusCode::GATEWAY_TIMEOUT), Bytes::new()),
+        Answer::Failed { late: false } => (plain(StatusCode::BAD_GATEWAY), Bytes::new()),
+    }
+}
+
+/// Sends a body in pieces as the window opens; false: the stream has ended.
+pub async fn push_body(stream: &mut h2::SendStream<Bytes>, mut body: Bytes) -> bool {
+    while !body.is_empty() {
+        stream.reserve_capacity(body.len());
+        let Some(Ok(room)) = poll_fn(|cx| stream.poll_capacity(cx)).await else { return false };
+        let part = body.split_to(room.min(body.len()));
+        if !part.is_empty() && stream.send_data(part, body.is_empty()).is_err() {
+            return false;
+        }
+    }
+    true
+}
