One scenario language and the same fault tests over RESP and HTTP/2, in front and behind

The stage starts the program between stand-ins on loopback and plays scenarios with all four pairs of wires; the answers must be the same for each. Covered: a booking that breaks halfway (five faults), work that never ran, deadlines, a client that gives up, two partners on one connection while the ingress drains, quotas (14 units of 14 on every pair), leaving instances, malformed bytes.

Ruled out: exact equality of the counter's total, since refill adds some hundredths of a unit between commands.

--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,194 @@
+//! The same faults over both wires, in front and behind: scenarios in the stage's language.
+
+mod stage;
+
+use stage::{play, play_all, Wire};
+
+#[test]
+fn a_booking_that_breaks_halfway_is_not_made_again() {
+    for fault in ["half", "reset", "goaway", "error", "garbage"] {
+        play_all(&format!(
+            "send c k1 book-rebroadcast city 7
+             answer * k1 {fault}
+             expect c k1 failed
+             wait 50
+             runs k1 1"
+        ));
+    }
+}
+
+#[test]
+fn a_fetch_that_breaks_halfway_is_made_again() {
+    play_all(
+        "send c k1 fetch-episode city 7
+         answer * k1 half
+         answer * k1 value news
+         expect c k1 served news
+         runs k1 2",
+    );
+}
+
+#[test]
+fn a_booking_that_never_ran_is_sent_elsewhere() {
+    for fault in ["busy", "refuse"] {
+        play_all(&format!(
+            "send c k1 book-rebroadcast city 7
+             answer * k1 {fault}
+             answer * k1 value booked
+             expect c k1 served booked
+             runs k1 2"
+        ));
+    }
+}
+
+#[test]
+fn a_booking_that_nobody_takes_is_refused_with_advice() {
+    play_all(
+        "always busy
+         send c k1 book-rebroadcast city 7
+         expect c k1 busy",
+    );
+}
+
+#[test]
+fn at_the_deadline_the_client_hears_once_and_the_attempt_is_abandoned() {
+    play_all(
+        "send c k1 book-rebroadcast city 7 d=300
+         expect * k1
+         expect c k1 failed
+         send c k2 fetch-episode city 7
+         answer * k2 value news
+         expect c k2 served news
+         runs k1 1",
+    );
+}
+
+#[test]
+fn a_client_that_gives_up_ends_its_command_alone() {
+    play_all(
+        "send c k1 book-rebroadcast city 7
+         send d k2 fetch-episode city 7
+         expect * k1
+         reset c k1
+         answer * k2 value news
+         expect d k2 served news
+         wait 50
+         runs k1 1",
+    );
+}
+
+#[test]
+fn two_partners_on_one_connection_are_finished_while_the_ingress_drains() {
+    play_all(
+        "send c k1 book-rebroadcast city 7
+         send c k2 fetch-episode national 8
+         expect * k1
+         expect * k2
+         stop
+         wait 700
+         answer * k1 value booked
+         answer * k2 value news
+         expect c k1 served booked
+         expect c k2 served news
+         expect c k3 closed
+         expect exit",
+    );
+}
+
+#[test]
+fn an_idle_connection_is_closed_and_new_ones_are_taken_for_a_while_at_a_stop() {
+    play_all(
+        "always value news
+         send c k1 fetch-episode city 7
+         expect c k1 served news
+         stop
+         wait 200
+         send d k2 fetch-episode city 7
+         expect d k2 served news
+         expect c k3 closed
+         expect d k3 closed
+         expect exit",
+    );
+}
+
+#[test]
+fn nothing_goes_to_an_instance_that_is_leaving() {
+    play_all(
+        "state a leaving
+         wait 50
+         send c k1 fetch-episode city 7
+         answer b k1 value news
+         expect c k1 served news
+         state b left
+         wait 50
+         send c k2 fetch-episode city 7
+         expect c k2 busy
+         runs k2 0",
+    );
+}
+
+#[test]
+fn quotas_count_the_same_over_both_wires() {
+    // A store of 14 units, 2 for each command.
+    let flood: String =
+        (0..12).map(|i| format!("send c k{i} fetch-episode district 9\nexpect c k{i}\n")).collect();
+    play_all(&format!("always value news\n{flood}counted 14"));
+}
+
+#[test]
+fn an_unknown_class_or_plan_has_failed_and_the_connection_is_kept() {
+    play_all(
+        "send c k1 no-such-class city 7
+         expect c k1 failed
+         send c k2 fetch-episode no-such-plan 7
+         expect c k2 failed
+         send c k3 fetch-episode city 7
+         answer * k3 value news
+         expect c k3 served news",
+    );
+}
+
+#[test]
+fn resp_answers_keep_the_order_of_the_commands() {
+    play(
+        Wire::Resp,
+        Wire::Resp,
+        "send c k1 fetch-episode city 7
+         send c k2 fetch-episode city 7
+         answer * k2 value second
+         wait 30
+         answer * k1 value first
+         expect c k1 served first
+         expect c k2 served second",
+    );
+}
+
+#[test]
+fn malformed_bytes_end_the_connection_and_unknown_commands_do_not() {
+    play(
+        Wire::Resp,
+        Wire::Resp,
+        r"raw c *1\r\n$5\r\nHELLO\r\n
+         expect c - -ERR unknown
+         raw c *1\r\n$4\r\nPING\r\n
+         expect c - +PONG
+         raw c GET / HTTP/1.1\r\n\r\n
+         expect c - -ERR malformed
+         expect c - closed
+         raw d *2\r\n$9\r\nSVC.QUERY\r\n$999999\r\n
+         expect d - -ERR malformed
+         expect d - closed",
+    );
+}
+
+#[test]
+fn a_request_without_sense_is_400_over_http2() {
+    play(
+        Wire::Http2,
+        Wire::Resp,
+        "send c k1 fetch-episode city 7 d=soon
+         expect c k1 400
+         send c k2 fetch-episode city not-a-partner
+         expect c k2 400",
+    );
+}
--- /dev/null
+++ b/tests/stage/mod.rs
@@ -0,0 +1,514 @@
+//! The stage: the real program between stand-ins for clients, instances, counter and discovery, all on
+//! loopback, and the scenario language that drives them. One line, one step; `C` is a client's connection,
+//! `I` an instance, `K` a command's id:
+//!
+//!     send C K CLASS PLAN PARTNER [d=MS]   a client sends a command
+//!     raw C TEXT                           a client writes bytes as they stand (\r\n are escapes)
+//!     expect C K WHAT                      its answer: served V, busy, failed, closed; or a prefix of a raw line
+//!     expect I K                           an attempt arrives whole (`*`: at any instance)
+//!     answer I K HOW                       value V, busy, error, half (breaks halfway), reset, refuse, goaway, garbage
+//!     always HOW                           from now on instances answer at once
+//!     reset C K / close C                  the client gives up a command (its connection on RESP) / closes
+//!     state I STATE                        discovery tells of an instance: active, leaving, left
+//!     stop / expect exit                   SIGTERM / the program ends with status 0
+//!     wait MS                              time passes
+//!     runs K N                             N attempts for K have arrived in all
+//!     counted N                            the counter holds N units, and under one that time brought
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use driftgap::wire::{command_words, instance_reply, Parsed, Reply};
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::future::{poll_fn, Future};
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch};
+use tokio::task::spawn_local;
+
+/// The wire that a side speaks.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wire {
+    Resp,
+    Http2,
+}
+
+const SETTINGS: &str = include_str!("settings.json");
+const LONG: Duration = Duration::from_secs(4);
+
+type Arrived = Rc<RefCell<HashMap<(String, String), oneshot::Sender<String>>>>;
+
+/// What all stand-ins share.
+#[derive(Clone, Default)]
+struct Shared {
+    arrived: Arrived,
+    runs: Rc<RefCell<HashMap<String, usize>>>,
+    totals: Rc<RefCell<HashMap<String, f64>>>,
+    always: Rc<RefCell<Option<String>>>,
+}
+
+impl Shared {
+    /// An attempt has arrived whole; how it is to be answered.
+    fn arrive(&self, instance: &str, id: &str) -> oneshot::Receiver<String> {
+        let (tell, told) = oneshot::channel();
+        *self.runs.borrow_mut().entry(id.to_string()).or_default() += 1;
+        if let Some(how) = &*self.always.borrow() {
+            let _ = tell.send(how.clone());
+            return told;
+        }
+        self.arrived.borrow_mut().insert((instance.to_string(), id.to_string()), tell);
+        told
+    }
+}
+
+async fn read_some(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+    stream.read_buf(buffer).await.is_ok_and(|n| n > 0)
+}
+
+async fn resp_instance(name: String, mut stream: TcpStream, shared: Shared) {
+    let mut buffer = Vec::new();
+    loop {
+        let (id, used) = loop {
+            if let Ok(Parsed::Whole(words, n)) = command_words(&buffer) {
+                break (String::from_utf8_lossy(words.get(2).unwrap_or(&words[0])).to_string(), n);
+            }
+            if !read_some(&mut stream, &mut buffer).await {
+                return;
+            }
+        };
+        buffer.drain(..used);
+        let Ok(how) = shared.arrive(&name, &id).await else { return };
+        let reply = match how.split_once(' ').unwrap_or((&how, "")) {
+            ("value", v) => format!("*3\r\n${}\r\n{v}\r\n$-1\r\n$-1\r\n", v.len()),
+            ("busy" | "refuse", _) => "-BUSY\r\n".to_string(),
+            ("error", _) => "-ERR failed\r\n".to_string(),
+            ("half", _) => "*3\r\n$10\r\nabc".to_string(),
+            ("garbage", _) => "!what is this\r\n".to_string(),
+            _ => String::new(),
+        };
+        let _ = stream.write_all(reply.as_bytes()).await;
+        if matches!(how.as_str(), "half" | "reset" | "goaway") {
+            return;
+        }
+    }
+}
+
+async fn http2_instance(name: String, stream: TcpStream, shared: Shared) {
+    let Ok(mut connection) = h2::server::handshake(stream).await else { return };
+    let abrupt = Rc::new(tokio::sync::Notify::new());
+    loop {
+        let next = tokio::select! {
+            next = connection.accept() => next,
+            () = abrupt.notified() => { connection.abrupt_shutdown(h2::Reason::NO_ERROR); continue }
+        };
+        let Some(Ok((request, mut respond))) = next else { return };
+        let (name, shared, abrupt) = (name.clone(), shared.clone(), abrupt.clone());
+        spawn_local(async move {
+            let id = request.headers()["req-id"].to_str().unwrap().to_string();
+            let mut body = request.into_body();
+            while body.data().await.is_some() {}
+            let how = tokio::select! {
+                how = shared.arrive(&name, &id) => how,
+                _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
+            };
+            let Ok(how) = how else { return };
+            let head = |status: u16| http::Response::builder().status(status);
+            match how.split_once(' ').unwrap_or((&how, "")) {
+                ("value", v) => {
+                    let mut send = respond.send_response(head(200).body(()).unwrap(), false).unwrap();
+                    send.send_data(Bytes::copy_from_slice(v.as_bytes()), true).unwrap();
+                }
+                ("busy", _) => {
+                    let declined = head(503).header("srv-declined", "1").body(()).unwrap();
+                    respond.send_response(declined, true).unwrap();
+                }
+                ("error" | "garbage", _) => {
+                    respond.send_response(head(500).body(()).unwrap(), true).unwrap();
+                }
+                ("half", _) => {
+                    let mut send = respond.send_response(head(200).body(()).unwrap(), false).unwrap();
+                    send.send_data(Bytes::from_static(b"abc"), false).unwrap();
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    send.send_reset(h2::Reason::INTERNAL_ERROR);
+                }
+                ("refuse", _) => respond.send_reset(h2::Reason::REFUSED_STREAM),
+                ("goaway", _) => {
+                    abrupt.notify_one();
+                    std::future::pending::<()>().await;
+                }
+                _ => respond.send_reset(h2::Reason::INTERNAL_ERROR),
+            }
+        });
+    }
+}
+
+/// The counter: adds, and answers with the total.
+async fn counter(mut stream: TcpStream, shared: Shared) {
+    let mut buffer = Vec::new();
+    loop {
+        while let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
+            let head = String::from_utf8_lossy(&buffer[..end]).to_string();
+            buffer.drain(..end + 4);
+            let path = head.split(' ').nth(1).unwrap();
+            let (name, query) = path.strip_prefix("/tally/").unwrap().split_once('?').unwrap();
+            let amount = query.split('&').find_map(|p| p.strip_prefix("n=")).unwrap();
+            let total = {
+                let mut totals = shared.totals.borrow_mut();
+                let total = totals.entry(name.to_string()).or_default();
+                *total += amount.parse::<f64>().unwrap();
+                total.to_string()
+            };
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{total}", total.len());
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+        if !read_some(&mut stream, &mut buffer).await {
+            return;
+        }
+    }
+}
+
+/// The agent: the list, then a change whenever it has one.
+async fn agent(mut stream: TcpStream, mut list: watch::Receiver<(u64, String)>) {
+    let mut buffer = Vec::new();
+    loop {
+        while !buffer.windows(4).any(|w| w == b"\r\n\r\n") {
+            if !read_some(&mut stream, &mut buffer).await {
+                return;
+            }
+        }
+        let head = String::from_utf8_lossy(&buffer).to_string();
+        buffer.clear();
+        let held = head.split("index=").nth(1).and_then(|t| t.split('&').next()?.parse::<u64>().ok());
+        while list.borrow().0 <= held.unwrap_or(0) {
+            if list.changed().await.is_err() {
+                return;
+            }
+        }
+        let body = list.borrow().1.clone();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        if stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Listens and serves each connection by `serve`; the port.
+async fn stand_in<F: Future<Output = ()> + 'static>(serve: impl Fn(TcpStream) -> F + 'static) -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let port = listener.local_addr().unwrap().port();
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(serve(stream));
+        }
+    });
+    port
+}
+
+enum Client {
+    Resp { stream: TcpStream, buffer: Vec<u8>, sent: VecDeque<String> },
+    Http2 { send: h2::client::SendRequest<Bytes>, streams: HashMap<String, Stream>, ended: Rc<RefCell<bool>> },
+}
+
+type Stream = (h2::client::ResponseFuture, h2::SendStream<Bytes>);
+
+/// The program and everything round it.
+struct Stage {
+    program: Child,
+    front: Wire,
+    ports: HashMap<&'static str, u16>,
+    clients: HashMap<String, Client>,
+    shared: Shared,
+    list: watch::Sender<(u64, String)>,
+    instances: HashMap<String, (u16, Wire)>,
+    answers: Vec<String>,
+}
+
+fn free_port() -> u16 {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+}
+
+fn entry(name: &str, port: u16, wire: Wire, state: &str) -> String {
+    let protocol = if wire == Wire::Http2 { "http2" } else { "resp" };
+    format!(
+        r#"{{"id":"{name}","addr":"127.0.0.1:{port}","zone":"building-1","kind":"small-2c","cell":0,
+            "state":"{state}","weight":1.0,"started_ms":0,"protocol":"{protocol}"}}"#
+    )
+}
+
+impl Stage {
+    async fn set(front: Wire, wire: Wire) -> Stage {
+        let shared = Shared::default();
+        let mut instances = HashMap::new();
+        for name in ["a", "b"] {
+            let shared = shared.clone();
+            let port = match wire {
+                Wire::Resp => stand_in(move |s| resp_instance(name.into(), s, shared.clone())).await,
+                Wire::Http2 => stand_in(move |s| http2_instance(name.into(), s, shared.clone())).await,
+            };
+            instances.insert(name.to_string(), (port, wire));
+        }
+        let entries: Vec<_> = instances.iter().map(|(n, (p, w))| entry(n, *p, *w, "active")).collect();
+        let servers = entries.join(",");
+        let (list, watched) =
+            watch::channel((1, format!(r#"{{"version":1,"full":true,"servers":[{servers}]}}"#)));
+        let tallies = shared.clone();
+        let counter = stand_in(move |s| counter(s, tallies.clone())).await;
+        let discovery = stand_in(move |s| agent(s, watched.clone())).await;
+        let (listen, second) = (free_port(), free_port());
+        let folder = std::env::temp_dir().join(format!("driftgap-stage-{}-{listen}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (config, operator) = (folder.join("config.json"), folder.join("operator.toml"));
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:{listen}","discovery":"127.0.0.1:{discovery}",
+                "counter":"127.0.0.1:{counter}","seed":"1f","limits":{{"sockets":256}},"settings":{SETTINGS}}}"#
+        );
+        std::fs::write(&config, text).unwrap();
+        std::fs::write(&operator, format!("[http2]\nlisten = \"127.0.0.1:{second}\"\n")).unwrap();
+        let program = Command::new(env!("CARGO_BIN_EXE_driftgap"))
+            .env("EDGE_CONFIG", &config)
+            .env("DRIFTGAP_OPERATOR", &operator)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let ports = [("resp", listen), ("http2", second)].into();
+        let clients = HashMap::new();
+        let mut stage =
+            Stage { program, front, ports, clients, shared, list, instances, answers: Vec::new() };
+        stage.ready().await;
+        stage
+    }
+
+    /// Waits until the program says that it can serve.
+    async fn ready(&mut self) {
+        for _ in 0..400 {
+            if let Ok(mut stream) = TcpStream::connect(("127.0.0.1", self.ports["resp"])).await {
+                let mut buffer = Vec::new();
+                let _ = stream.write_all(b"*1\r\n$4\r\nPING\r\n").await;
+                if read_some(&mut stream, &mut buffer).await && buffer.starts_with(b"+PONG") {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the program is not ready");
+    }
+
+    async fn client(&mut self, name: &str) -> &mut Client {
+        if !self.clients.contains_key(name) {
+            let port = if self.front == Wire::Resp { self.ports["resp"] } else { self.ports["http2"] };
+            let stream = TcpStream::connect(("127.0.0.1", port)).await.unwrap();
+            let client = match self.front {
+                Wire::Resp => Client::Resp { stream, buffer: Vec::new(), sent: VecDeque::new() },
+                Wire::Http2 => {
+                    let (send, connection) = h2::client::handshake(stream).await.unwrap();
+                    let ended = Rc::new(RefCell::new(false));
+                    let end = ended.clone();
+                    spawn_local(async move {
+                        let _ = connection.await;
+                        *end.borrow_mut() = true;
+                    });
+                    Client::Http2 { send, streams: HashMap::new(), ended }
+                }
+            };
+            self.clients.insert(name.to_string(), client);
+        }
+        self.clients.get_mut(name).unwrap()
+    }
+
+    async fn send(&mut self, words: &[&str]) {
+        let [name, id, class, plan, partner, rest @ ..] = words else { panic!("{words:?}") };
+        let d = rest.iter().find_map(|w| w.strip_prefix("d=")).unwrap_or("2000");
+        match self.client(name).await {
+            Client::Resp { stream, sent, .. } => {
+                let verb = if *class == "fetch-episode" { "SVC.QUERY" } else { "SVC.SUBMIT" };
+                let terms = format!("c={class},t={plan},d={d},units=2,spread=1,first=0");
+                let partner = format!("{partner:0>16}");
+                let mut text = "*5\r\n".to_string();
+                for word in [verb, partner.as_str(), id, &terms, "BODY"] {
+                    text.push_str(&format!("${}\r\n{word}\r\n", word.len()));
+                }
+                stream.write_all(text.as_bytes()).await.unwrap();
+                sent.push_back(id.to_string());
+            }
+            Client::Http2 { send, streams, .. } => {
+                let request = http::Request::post(format!("http://ingress/commands/{class}"))
+                    .header("api-customer", format!("{partner:0>16}"))
+                    .header("req-id", *id)
+                    .header("api-plan", *plan)
+                    .header("req-deadline-ms", d)
+                    .header("api-terms", "units=2,spread=1,first=0")
+                    .body(())
+                    .unwrap();
+                let mut ready = send.clone().ready().await.unwrap();
+                let (response, mut body) = ready.send_request(request, false).unwrap();
+                body.send_data(Bytes::from_static(b"BODY"), true).unwrap();
+                streams.insert(id.to_string(), (response, body));
+            }
+        }
+    }
+
+    /// The answer to a command, in the language's words.
+    async fn answer(&mut self, name: &str, id: &str) -> String {
+        match self.clients.get_mut(name).unwrap() {
+            Client::Resp { stream, buffer, sent } => loop {
+                if let Ok(Parsed::Whole(reply, n)) = instance_reply(buffer) {
+                    let text = |b: &[u8]| String::from_utf8_lossy(b).to_string();
+                    let word = match reply {
+                        Reply::Bulk(Some(value)) => format!("served {}", text(value)),
+                        Reply::Error(e) if e.starts_with(b"BUSY") => "busy".to_string(),
+                        Reply::Error(e) if e.starts_with(b"ERR failed") => "failed".to_string(),
+                        Reply::Error(e) => format!("-{}", text(e)),
+                        Reply::Simple(s) => format!("+{}", text(s)),
+                        other => format!("{other:?}"),
+                    };
+                    buffer.drain(..n);
+                    assert!(sent.pop_front().is_none_or(|s| s == id), "answers out of order at {id}");
+                    return word;
+                }
+                if !read_some(stream, buffer).await {
+                    return "closed".into();
+                }
+            },
+            Client::Http2 { streams, ended, .. } => {
+                let Some((response, _)) = streams.remove(id) else {
+                    while !*ended.borrow() {
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                    return "closed".into();
+                };
+                let Ok(response) = response.await else { return "closed".into() };
+                let (head, mut body) = response.into_parts();
+                let mut value = Vec::new();
+                while let Some(Ok(part)) = body.data().await {
+                    value.extend_from_slice(&part);
+                }
+                match head.status.as_u16() {
+                    200 => format!("served {}", String::from_utf8_lossy(&value)),
+                    429 | 503 => {
+                        assert!(head.headers.contains_key("retry-after"));
+                        "busy".into()
+                    }
+                    502 | 504 => "failed".into(),
+                    other => other.to_string(),
+                }
+            }
+        }
+    }
+
+    /// Waits for an attempt at an instance, or at any (`*`).
+    async fn arrived(&self, instance: &str, id: &str) -> (String, String) {
+        loop {
+            let found = self
+                .shared
+                .arrived
+                .borrow()
+                .keys()
+                .find(|k| k.1 == id && (instance == "*" || k.0 == instance))
+                .cloned();
+            if let Some(key) = found {
+                return key;
+            }
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
+    async fn step(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words.as_slice() {
+            ["send", rest @ ..] => self.send(rest).await,
+            ["raw", name, ..] => {
+                let text = line.split_once(name).unwrap().1.trim_start();
+                let text = text.replace("\\r", "\r").replace("\\n", "\n");
+                let Client::Resp { stream, .. } = self.client(name).await else { panic!("raw is for RESP") };
+                stream.write_all(text.as_bytes()).await.unwrap();
+            }
+            ["expect", "exit"] => loop {
+                if let Some(status) = self.program.try_wait().unwrap() {
+                    assert!(status.success(), "{status}");
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            },
+            ["expect", instance, id] if *instance == "*" || self.instances.contains_key(*instance) => {
+                self.arrived(instance, id).await;
+            }
+            ["expect", name, id, what @ ..] => {
+                let (got, want) = (self.answer(name, id).await, what.join(" "));
+                assert!(got.starts_with(&want), "{:?}: {line}: got {got}", self.front);
+                self.answers.push(got);
+            }
+            ["answer", instance, id, how @ ..] => {
+                let key = self.arrived(instance, id).await;
+                let tell = self.shared.arrived.borrow_mut().remove(&key).unwrap();
+                let _ = tell.send(how.join(" "));
+            }
+            ["reset", name, id] => match self.clients.get_mut(*name).unwrap() {
+                Client::Resp { .. } => drop(self.clients.remove(*name)),
+                Client::Http2 { streams, .. } => {
+                    streams.remove(*id).unwrap().1.send_reset(h2::Reason::CANCEL);
+                }
+            },
+            ["close", name] => drop(self.clients.remove(*name)),
+            ["state", name, state] => {
+                let (port, wire) = self.instances[*name];
+                let version = self.list.borrow().0 + 1;
+                let entry = entry(name, port, wire, state);
+                let change = format!(r#"{{"version":{version},"full":false,"servers":[{entry}]}}"#);
+                self.list.send((version, change)).unwrap();
+            }
+            ["always", how @ ..] => *self.shared.always.borrow_mut() = Some(how.join(" ")),
+            ["stop"] => {
+                let pid = self.program.id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+            }
+            ["wait", ms] => tokio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await,
+            ["runs", id, n] => {
+                let runs = self.shared.runs.borrow().get(*id).copied().unwrap_or(0);
+                assert_eq!(runs.to_string(), *n, "{line}");
+            }
+            ["counted", n] => {
+                let total: f64 = self.shared.totals.borrow().values().sum();
+                let n: f64 = n.parse().unwrap();
+                assert!((n..n + 1.0).contains(&total), "{line}: {total}");
+            }
+            [] => {}
+            _ => panic!("no such step: {line}"),
+        }
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.program.kill();
+        let _ = self.program.wait();
+    }
+}
+
+/// Plays a scenario with these wires in front and behind; the answers that it expected.
+pub fn play(front: Wire, behind: Wire, scenario: &str) -> Vec<String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mut stage = Stage::set(front, behind).await;
+        for line in scenario.lines().map(str::trim).filter(|l| !l.starts_with('#')) {
+            let done = tokio::time::timeout(LONG, stage.step(line)).await;
+            assert!(done.is_ok(), "{front:?} to {behind:?}: nothing came of: {line}");
+        }
+        std::mem::take(&mut stage.answers)
+    })
+}
+
+/// Plays a scenario with every pair of wires: the answers must be the same.
+pub fn play_all(scenario: &str) {
+    let mut first: Option<Vec<String>> = None;
+    for front in [Wire::Resp, Wire::Http2] {
+        for behind in [Wire::Resp, Wire::Http2] {
+            let answers = play(front, behind, scenario);
+            assert_eq!(first.get_or_insert_with(|| answers.clone()), &answers, "{front:?} to {behind:?}");
+        }
+    }
+}
