--- a/src/core.rs
+++ b/src/core.rs
@@ -25,6 +25,8 @@
     pub patience_ms: f64,
     /// The body, if there is one.
     pub body: Option<Vec<u8>>,
+    /// What an operator's hook noted on it.
+    pub notes: Vec<(String, String)>,
 }
 
 /// Why a command cannot be taken. It gets a failed answer.
@@ -75,7 +77,15 @@
             repeat: find("r") == Some("1"),
         };
         let patience_ms = number("d", 0.0..=3.6e6)?;
-        Ok(Command { ask, customer: customer.into(), id: id.into(), terms, patience_ms, body })
+        Ok(Command {
+            ask,
+            customer: customer.into(),
+            id: id.into(),
+            terms,
+            patience_ms,
+            body,
+            notes: Vec::new(),
+        })
     }
 
     /// Memory that it holds, roughly.
@@ -230,8 +240,7 @@
         self.tally.taken += 1;
         // Guards memory: nothing has been sent on, so the refusal is harmless for every class.
         if self.held.len() >= self.platform.most_held || self.bytes + command.size() > self.most_bytes {
-            self.tally.nacked += 1;
-            self.effects.push_back(Effect::Reply(id, Answer::Nack { after_ms: 500.0 }));
+            self.turn_away(id, 500.0);
             return id;
         }
         let give_up = now + command.patience_ms;
@@ -246,6 +255,20 @@
         id
     }
 
+    /// Refuses a command before any decision, on an operator's word; its answer comes as for any other.
+    pub fn refuse(&mut self, after_ms: f64) -> CommandId {
+        let id = self.next;
+        self.next = self.next.wrapping_add(1).max(1);
+        self.tally.taken += 1;
+        self.turn_away(id, after_ms);
+        id
+    }
+
+    fn turn_away(&mut self, id: CommandId, after_ms: f64) {
+        self.tally.nacked += 1;
+        self.effects.push_back(Effect::Reply(id, Answer::Nack { after_ms }));
+    }
+
     /// The service client has gone: nothing is owed, and its attempts are abandoned.
     pub fn client_gone(&mut self, now: f64, id: CommandId) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.answered) else { return };
--- a/src/name_table.rs
+++ b/src/name_table.rs
@@ -9,7 +9,7 @@
 use crate::ring::Ring;
 use crate::wire::{http_answer, HttpAnswer, Parsed};
 use serde_json::Value;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +66,8 @@
     zones: Vec<String>,
     numbers: HashMap<String, InstanceId>,
     instances: HashMap<InstanceId, Instance>,
+    /// What the operator's inventory names, which discovery knows nothing of.
+    inventory: Vec<HostEntry>,
 }
 
 impl NameTable {
@@ -95,6 +97,16 @@
         self.zones.iter().position(|z| z == name).unwrap_or(self.zones.len()) as u32
     }
 
+    /// Whether the settings name this zone.
+    pub fn has_zone(&self, name: &str) -> bool {
+        self.zones.iter().any(|z| z == name)
+    }
+
+    /// Keeps what the inventory names: a whole list of discovery's must not end it.
+    pub fn keep_inventory(&mut self, entries: &[HostEntry]) {
+        self.inventory = entries.to_vec();
+    }
+
     /// Takes in a list in discovery's form. One bad entry is left out and named; the others count.
     ///
     /// # Errors
@@ -112,6 +124,10 @@
                 Err(field) => log::warn!("discovery: servers[{i}].{field} makes no sense, entry left out"),
             }
         }
+        if full {
+            let named: HashSet<InstanceId> = entries.iter().map(|e| e.host).collect();
+            entries.extend(self.inventory.iter().filter(|e| !named.contains(&e.host)).cloned());
+        }
         Ok(News { kind: if full { ListKind::Full } else { ListKind::Delta }, version, entries })
     }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,8 +10,10 @@
 use crate::front::http2::Http2Front;
 use crate::front::resp::RespFront;
 use crate::front::ServiceClient;
+use crate::inventory::{Inventory, InventoryError};
 use crate::name_table::{follow, NameTable};
 use crate::operator::Operator;
+use crate::plugin::{Plugin, PluginError, Wish};
 use crate::settings::{Config, Platform};
 use crate::upstream::Upstream;
 use std::cell::{Cell, RefCell, RefMut};
@@ -47,6 +49,12 @@
     /// The address cannot be listened on.
     #[error("listen: {0}: {1}")]
     Listen(std::net::SocketAddr, std::io::Error),
+    /// The inventory makes no sense.
+    #[error("inventory {0}: {1}")]
+    Inventory(String, InventoryError),
+    /// The plug-in does not load.
+    #[error("plugin: {0}")]
+    Plugin(#[from] PluginError),
     /// Something that the system refuses.
     #[error("{0}")]
     System(#[from] std::io::Error),
@@ -64,6 +72,7 @@
     upstream: Upstream,
     counter: Option<Rc<Counter>>,
     clients: RefCell<HashMap<CommandId, Owed>>,
+    plugin: Option<Plugin>,
     pumping: Cell<bool>,
     started: f64,
     answered: Cell<bool>,
@@ -75,7 +84,7 @@
     ///
     /// # Errors
     /// Settings that make no sense.
-    pub fn new(config: &Config, clock: Clock) -> Result<Rc<Hub>, StartError> {
+    pub fn new(config: &Config, plugin: Option<Plugin>, clock: Clock) -> Result<Rc<Hub>, StartError> {
         let platform = Rc::new(config.platform.clone());
         let facade = Facade::new(platform.module.clone(), config.seed)?;
         let most_bytes = (config.memory_mb * 1e6 / 3.0) as usize;
@@ -88,7 +97,9 @@
             counter: config.counter.map(|addr| Rc::new(Counter::new(addr, platform.count_wait_ms))),
             clients: RefCell::default(),
             pumping: Cell::new(false),
-            answered: Cell::new(false),
+            // Without discovery, what is known is all there is.
+            answered: Cell::new(config.discovery.is_none()),
+            plugin,
             me: me.clone(),
             platform,
             clock,
@@ -135,12 +146,23 @@
     /// Takes a command; `known` hears its number before any answer can come.
     pub fn arrive(
         &self,
-        command: Command,
+        mut command: Command,
         client: Rc<dyn ServiceClient>,
         ticket: u64,
         known: impl FnOnce(CommandId),
     ) {
-        let id = self.core.borrow_mut().arrive(self.clock.now(), command);
+        let now = self.clock.now();
+        let wish = self.plugin.as_ref().map(|plugin| plugin.decide(now, &self.platform, &command));
+        let id = match wish {
+            Some(Wish::Nack(after_ms)) => self.core.borrow_mut().refuse(after_ms),
+            wish => {
+                if let Some(Wish::Pass(notes)) = wish.filter(|w| *w != Wish::Pass(Vec::new())) {
+                    log::debug!("command {}: {notes:?}", command.id);
+                    command.notes = notes;
+                }
+                self.core.borrow_mut().arrive(now, command)
+            }
+        };
         self.clients.borrow_mut().insert(id, (client, ticket));
         known(id);
         self.pump();
@@ -152,6 +174,14 @@
         self.with_core(|core, now| core.client_gone(now, id));
     }
 
+    /// Reads the inventory into the name table and tells the core what changed.
+    fn load(&self, inventory: &mut Inventory) -> Result<(), StartError> {
+        let loaded = inventory.load(&mut self.table());
+        let entries = loaded.map_err(|e| StartError::Inventory(inventory.path().display().to_string(), e))?;
+        self.with_core(|core, now| core.names(now, ListKind::Delta, entries));
+        Ok(())
+    }
+
     fn pump(&self) {
         let Some(me) = self.me.upgrade() else { return };
         if self.pumping.replace(true) {
@@ -220,11 +250,17 @@
 /// What keeps it from starting.
 pub async fn run(config: Config, operator: Operator) -> Result<(), StartError> {
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let hub = Hub::new(&config, Clock::system())?;
+    let mut hang_up = signal(SignalKind::hangup())?;
+    let plugin = operator.plugin.as_ref().map(|p| Plugin::load(p, &operator.folder)).transpose()?;
+    let hub = Hub::new(&config, plugin, Clock::system())?;
     if !config.known.is_null() {
         let news = hub.table().take(&config.known)?;
         hub.with_core(|core, now| core.names(now, ListKind::Cached, news.entries));
     }
+    let mut inventory = operator.inventory.as_ref().map(|i| Inventory::new(operator.folder.join(&i.file)));
+    if let Some(inventory) = &mut inventory {
+        hub.load(inventory)?;
+    }
     let listener = bind(config.listen).await?;
     let second = match &operator.http2 {
         Some(http2) => Some((bind(http2.listen).await?, Http2Front::new(hub.clone(), http2.limits()))),
@@ -243,9 +279,18 @@
         accepting.push(spawn_local(front.clone().listen(listener)));
         front
     });
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hang_up.recv() => match &mut inventory {
+                Some(inventory) => match hub.load(inventory) {
+                    Ok(()) => log::info!("inventory read again"),
+                    Err(e) => log::error!("{e}; the old list stays"),
+                },
+                None => log::info!("SIGHUP: no inventory to read"),
+            },
+        }
     }
     drain(&hub, &front, second.as_ref(), accepting).await;
     Ok(())
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -3,9 +3,10 @@
 //! never repeat a setting of the platform's.
 
 use crate::front::http2::Limits;
+use crate::plugin::PluginSettings;
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// A file that cannot be used; the text names the field.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -18,6 +19,21 @@
 pub struct Operator {
     /// The HTTP/2 front; off where it is absent.
     pub http2: Option<Http2>,
+    /// Instances beside those that discovery names.
+    pub inventory: Option<InventoryFile>,
+    /// The hook before the decision.
+    pub plugin: Option<PluginSettings>,
+    /// Where relative paths count from.
+    #[serde(skip)]
+    pub folder: PathBuf,
+}
+
+/// The inventory.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct InventoryFile {
+    /// CSV (`.csv`) or YAML.
+    pub file: PathBuf,
 }
 
 /// The HTTP/2 front.
@@ -70,6 +86,14 @@
                 return wrong("http2.connections", "must be from 1 to 10000");
             }
         }
+        if let Some(plugin) = &operator.plugin {
+            if plugin.operations == 0 {
+                return wrong("plugin.operations", "must be above 0");
+            }
+            if plugin.size == 0 || plugin.size > 1 << 20 {
+                return wrong("plugin.size", "must be from 1 to 1048576");
+            }
+        }
         Ok(operator)
     }
 
@@ -79,7 +103,8 @@
     /// It cannot be read, or a field makes no sense.
     pub fn read(path: &Path) -> Result<Operator, OperatorError> {
         let text = std::fs::read_to_string(path).map_err(|e| OperatorError(e.to_string()))?;
-        Operator::parse(&text)
+        let operator = Operator::parse(&text)?;
+        Ok(Operator { folder: path.parent().unwrap_or(Path::new("")).to_path_buf(), ..operator })
     }
 }
 
@@ -87,3 +112,31 @@
     let line = error.span().map_or(0, |span| text[..span.start.min(text.len())].lines().count().max(1));
     OperatorError(format!("line {line}: {}", error.message().replace('\n', " ")))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_wrong_is_one_line_that_names_the_field() {
+        let cases = [
+            ("[http2]\nlisten = 5\n", "http2.listen"),
+            ("[http2]\nlisten = \"here\"\n", "http2.listen"),
+            ("[http2]\nlisten = \"127.0.0.1:1\"\nstreams = 0\n", "http2.streams"),
+            ("[http2]\nlisten = \"127.0.0.1:1\"\nstreams = -1\n", "http2.streams"),
+            ("[http2]\nlisten = \"127.0.0.1:1\"\nspeed = 1\n", "speed"),
+            ("[http2]\n", "listen"),
+            ("[plugin]\nscript = \"x\"\non_error = \"maybe\"\n", "plugin.on_error"),
+            ("[plugin]\nscript = \"x\"\nsize = 0\n", "plugin.size"),
+            ("[inventory]\nfile = 1\n", "inventory.file"),
+            ("[htpp2]\n", "htpp2"),
+            ("[http2\n", "line 1"),
+        ];
+        for (text, want) in cases {
+            let said = Operator::parse(text).unwrap_err().to_string();
+            assert!(said.contains(want) && said.lines().count() == 1, "{said}");
+        }
+        assert!(Operator::parse(include_str!("../deploy/http2.toml")).unwrap().http2.is_some());
+        assert!(Operator::parse(include_str!("../examples/operator.toml")).unwrap().plugin.is_some());
+    }
+}
--- a/src/wire_http2.rs
+++ b/src/wire_http2.rs
@@ -28,6 +28,8 @@
 pub const TERMS: &str = "api-terms";
 /// Beside `retry-after`, which counts whole seconds: the advice in milliseconds.
 pub const RETRY_MS: &str = "retry-after-ms";
+/// To an instance: what the operator's hook noted, by name.
+pub const NOTE: &str = "api-note-";
 /// From an instance: the command was turned away unseen and never ran.
 pub const DECLINED: &str = "srv-declined";
 /// From an instance: its load report.
@@ -92,6 +94,9 @@
     if command.ask.repeat {
         request = request.header(RETRY, "1");
     }
+    for (name, value) in &command.notes {
+        request = request.header(format!("{NOTE}{name}"), value);
+    }
     request.body(())
 }
 
