--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -195,3 +195,42 @@
          expect c k2 400",
     );
 }
+
+#[test]
+fn the_inventory_adds_instances_keeps_them_over_a_wrong_file_and_drains_them() {
+    play_all(
+        "inventory extra
+         state a left
+         state b left
+         wait 50
+         send c k1 fetch-episode city 7
+         answer extra k1 value one
+         expect c k1 served one
+         inventory extra broken
+         wait 50
+         send c k2 fetch-episode city 7
+         expect extra k2
+         inventory
+         wait 50
+         answer extra k2 value two
+         expect c k2 served two
+         send c k3 fetch-episode city 7
+         expect c k3 busy
+         runs k3 0",
+    );
+}
+
+#[test]
+fn the_hook_refuses_before_the_decision_and_its_failure_does_what_is_set() {
+    play_all(
+        "send c k1 book-rebroadcast city dead
+         expect c k1 busy
+         send c k2 book-rebroadcast city beef
+         expect c k2 busy
+         send c k3 book-rebroadcast city 7
+         answer * k3 value booked
+         expect c k3 served booked
+         runs k1 0
+         runs k2 0",
+    );
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -10,7 +10,8 @@
 //!     answer I K HOW                       value V, busy, error, half (breaks halfway), reset, refuse, goaway, garbage
 //!     always HOW                           from now on instances answer at once
 //!     reset C K / close C                  the client gives up a command (its connection on RESP) / closes
-//!     state I STATE                        discovery tells of an instance: active, leaving, left
+//!     state I STATE                        discovery tells of an instance (a, b): active, leaving, left
+//!     inventory NAMES                      the operator's file names these, and is read again (SIGHUP)
 //!     stop / expect exit                   SIGTERM / the program ends with status 0
 //!     wait MS                              time passes
 //!     runs K N                             N attempts for K have arrived in all
@@ -22,6 +23,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::future::{poll_fn, Future};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,6 +40,19 @@
 }
 
 const SETTINGS: &str = include_str!("settings.json");
+const OPERATOR: &str = r#"
+[inventory]
+file = "inventory.csv"
+[plugin]
+script = "hook.rhai"
+on_error = "nack"
+"#;
+const HEADER: &str = "name,address,zone,protocol\n";
+/// Refuses one partner and fails on another.
+const HOOK: &str = r#"fn decide(c) {
+    if c.partner == "000000000000dead" { return #{ nack: 300 }; }
+    if c.partner == "000000000000beef" { c.no_such_function(); }
+}"#;
 const LONG: Duration = Duration::from_secs(4);
 
 type Arrived = Rc<RefCell<HashMap<(String, String), oneshot::Sender<String>>>>;
@@ -173,8 +188,8 @@
     }
 }
 
-/// The agent: the list, then a change whenever it has one.
-async fn agent(mut stream: TcpStream, mut list: watch::Receiver<(u64, String)>) {
+/// The agent: the whole list, then the changes after the version held, as soon as there are any.
+async fn agent(mut stream: TcpStream, mut changes: watch::Receiver<Vec<String>>) {
     let mut buffer = Vec::new();
     loop {
         while !buffer.windows(4).any(|w| w == b"\r\n\r\n") {
@@ -184,13 +199,17 @@
         }
         let head = String::from_utf8_lossy(&buffer).to_string();
         buffer.clear();
-        let held = head.split("index=").nth(1).and_then(|t| t.split('&').next()?.parse::<u64>().ok());
-        while list.borrow().0 <= held.unwrap_or(0) {
-            if list.changed().await.is_err() {
+        let held = head.split("index=").nth(1).and_then(|t| t.split('&').next()?.parse::<usize>().ok());
+        while changes.borrow().len() <= held.unwrap_or(0) {
+            if changes.changed().await.is_err() {
                 return;
             }
         }
-        let body = list.borrow().1.clone();
+        let (full, version, servers) = match held {
+            None => (true, 1, changes.borrow()[0].clone()),
+            Some(held) => (false, changes.borrow().len(), changes.borrow()[held..].join(",")),
+        };
+        let body = format!(r#"{{"version":{version},"full":{full},"servers":[{servers}]}}"#);
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         if stream.write_all(answer.as_bytes()).await.is_err() {
             return;
@@ -224,9 +243,10 @@
     ports: HashMap<&'static str, u16>,
     clients: HashMap<String, Client>,
     shared: Shared,
-    list: watch::Sender<(u64, String)>,
+    list: watch::Sender<Vec<String>>,
     instances: HashMap<String, (u16, Wire)>,
     answers: Vec<String>,
+    folder: PathBuf,
 }
 
 fn free_port() -> u16 {
@@ -245,7 +265,7 @@
     async fn set(front: Wire, wire: Wire) -> Stage {
         let shared = Shared::default();
         let mut instances = HashMap::new();
-        for name in ["a", "b"] {
+        for name in ["a", "b", "extra"] {
             let shared = shared.clone();
             let port = match wire {
                 Wire::Resp => stand_in(move |s| resp_instance(name.into(), s, shared.clone())).await,
@@ -253,10 +273,9 @@
             };
             instances.insert(name.to_string(), (port, wire));
         }
-        let entries: Vec<_> = instances.iter().map(|(n, (p, w))| entry(n, *p, *w, "active")).collect();
-        let servers = entries.join(",");
-        let (list, watched) =
-            watch::channel((1, format!(r#"{{"version":1,"full":true,"servers":[{servers}]}}"#)));
+        let listed = instances.iter().filter(|(name, _)| *name != "extra");
+        let entries: Vec<_> = listed.map(|(n, (p, w))| entry(n, *p, *w, "active")).collect();
+        let (list, watched) = watch::channel(vec![entries.join(",")]);
         let tallies = shared.clone();
         let counter = stand_in(move |s| counter(s, tallies.clone())).await;
         let discovery = stand_in(move |s| agent(s, watched.clone())).await;
@@ -269,7 +288,10 @@
                 "counter":"127.0.0.1:{counter}","seed":"1f","limits":{{"sockets":256}},"settings":{SETTINGS}}}"#
         );
         std::fs::write(&config, text).unwrap();
-        std::fs::write(&operator, format!("[http2]\nlisten = \"127.0.0.1:{second}\"\n")).unwrap();
+        let sections = format!("[http2]\nlisten = \"127.0.0.1:{second}\"\n{OPERATOR}");
+        std::fs::write(&operator, sections).unwrap();
+        std::fs::write(folder.join("hook.rhai"), HOOK).unwrap();
+        std::fs::write(folder.join("inventory.csv"), HEADER).unwrap();
         let program = Command::new(env!("CARGO_BIN_EXE_driftgap"))
             .env("EDGE_CONFIG", &config)
             .env("DRIFTGAP_OPERATOR", &operator)
@@ -279,7 +301,7 @@
         let ports = [("resp", listen), ("http2", second)].into();
         let clients = HashMap::new();
         let mut stage =
-            Stage { program, front, ports, clients, shared, list, instances, answers: Vec::new() };
+            Stage { program, front, ports, clients, shared, list, instances, answers: Vec::new(), folder };
         stage.ready().await;
         stage
     }
@@ -418,6 +440,11 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let pid = self.program.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
     async fn step(&mut self, line: &str) {
         let words: Vec<&str> = line.split_whitespace().collect();
         match words.as_slice() {
@@ -463,16 +490,21 @@
             ["close", name] => drop(self.clients.remove(*name)),
             ["state", name, state] => {
                 let (port, wire) = self.instances[*name];
-                let version = self.list.borrow().0 + 1;
                 let entry = entry(name, port, wire, state);
-                let change = format!(r#"{{"version":{version},"full":false,"servers":[{entry}]}}"#);
-                self.list.send((version, change)).unwrap();
+                self.list.send_modify(|changes| changes.push(entry));
             }
             ["always", how @ ..] => *self.shared.always.borrow_mut() = Some(how.join(" ")),
-            ["stop"] => {
-                let pid = self.program.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+            ["inventory", names @ ..] => {
+                let row = |name: &&str| match self.instances.get(*name) {
+                    Some((port, Wire::Http2)) => format!("{name},127.0.0.1:{port},building-1,http2\n"),
+                    Some((port, Wire::Resp)) => format!("{name},127.0.0.1:{port},building-1,resp\n"),
+                    None => format!("{name},nowhere,,\n"),
+                };
+                let rows: String = names.iter().map(row).collect();
+                std::fs::write(self.folder.join("inventory.csv"), format!("{HEADER}{rows}")).unwrap();
+                self.signal("-HUP");
             }
+            ["stop"] => self.signal("-TERM"),
             ["wait", ms] => tokio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await,
             ["runs", id, n] => {
                 let runs = self.shared.runs.borrow().get(*id).copied().unwrap_or(0);
@@ -493,6 +525,7 @@
     fn drop(&mut self) {
         let _ = self.program.kill();
         let _ = self.program.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
--- /dev/null
+++ b/tests/start.rs
@@ -0,0 +1,70 @@
+//! What keeps the program from starting: exit status 2 and one line that names the field.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+const SETTINGS: &str = include_str!("stage/settings.json");
+
+/// Starts the program with these texts; what it says.
+fn refused(name: &str, config: &str, operator: &str) -> String {
+    let folder = std::env::temp_dir().join(format!("driftgap-start-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = |name: &str, text: &str| -> PathBuf {
+        std::fs::write(folder.join(name), text).unwrap();
+        folder.join(name)
+    };
+    file("bad.rhai", "fn decide(c) {\n  let = 1;\n}\n");
+    file("bad.csv", "name,address\na,here\n");
+    let out = Command::new(env!("CARGO_BIN_EXE_driftgap"))
+        .env("EDGE_CONFIG", file("config.json", config))
+        .env("DRIFTGAP_OPERATOR", file("operator.toml", operator))
+        .output()
+        .unwrap();
+    let said = String::from_utf8(out.stderr).unwrap();
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!((out.status.code(), said.lines().count()), (Some(2), 1), "{said}");
+    said
+}
+
+#[test]
+fn a_wrong_configuration_is_named_by_its_field() {
+    let with = |from: &str, to: &str| {
+        let whole = format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#);
+        assert!(whole.contains(from), "{from}");
+        whole.replacen(from, to, 1)
+    };
+    let cases = [
+        ("{".to_string(), "not JSON"),
+        (r#"{"settings":{}}"#.to_string(), "listen is missing"),
+        (r#"{"listen":"127.0.0.1:0"}"#.to_string(), "settings is missing"),
+        (with("127.0.0.1:0", "localhost"), "listen"),
+        (with(r#""listen""#, r#""counter":"x","listen""#), "counter"),
+        (with(r#""listen""#, r#""seed":"xyz","listen""#), "seed"),
+        (with(r#""listen""#, r#""limits":{"sockets":3},"listen""#), "limits.sockets"),
+        (with(r#""listen""#, r#""known":{"version":1},"listen""#), "known: servers"),
+        (with(r#""effect": "pure""#, r#""effect": "magic""#), "request_classes[0].effect"),
+        (with(r#""units_per_s": 0.97"#, r#""units_per_s": -1"#), "plans[0].rate"),
+        (with(r#""balancers": 1"#, r#""balancers": 0"#), "gateways"),
+        (with(r#""conn_idle": 15.0"#, r#""conn_idle": 0"#), "limits.conn_idle"),
+    ];
+    for (i, (config, want)) in cases.iter().enumerate() {
+        let said = refused(&format!("config{i}"), config, "");
+        assert!(said.contains(want), "{said} should name {want}");
+    }
+}
+
+#[test]
+fn a_wrong_operators_file_is_named_by_its_field() {
+    let config = format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#);
+    let cases = [
+        ("[http2]\nlisten = 7\n", "http2.listen"),
+        ("[http3]\n", "http3"),
+        ("[plugin]\nscript = \"none.rhai\"\n", "none.rhai"),
+        ("[plugin]\nscript = \"bad.rhai\"\n", "bad.rhai, line 2"),
+        ("[inventory]\nfile = \"bad.csv\"\n", "row 2: address"),
+    ];
+    for (i, (operator, want)) in cases.iter().enumerate() {
+        let said = refused(&format!("operator{i}"), &config, operator);
+        assert!(said.contains(want), "{said} should name {want}");
+    }
+}
