Drop timers of finished commands; recheck the name table before a write; stuck clients

Facade::next_due and Core::next_due now drop those that mean nothing any more; tests/core.rs counts the wake-ups. Also: an attempt asks the name table again just before it is written, an instance that moved gets new connections, with every place taken by clients who are owed answers others wait in line, clients stuck for 10 s give theirs up. Tests: counter and discovery out of order, GOAWAY below the stream against GOAWAY after it, reset floods, the core alone with a clock of the test's.

--- a/src/core.rs
+++ b/src/core.rs
@@ -7,7 +7,7 @@
 use crate::facade::{Add, Ask, CommandId, Ended, Errand, Facade, InstanceId, Report, Verdict};
 use crate::settings::Platform;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 
 /// What a service client asks for, free of any wire.
@@ -19,8 +19,8 @@
     pub customer: String,
     /// The command's id as the client wrote it.
     pub id: String,
-    /// Names and values in the client's order, `c`, `t` and `d` among them.
-    pub terms: Vec<(String, String)>,
+    /// Names and values in the client's order, `c`, `t` and `d` among them: `c=...,t=...`.
+    pub terms: String,
     /// How long the client waits, counted from its send.
     pub patience_ms: f64,
     /// The body, if there is one.
@@ -43,6 +43,11 @@
     Plan,
 }
 
+/// The names and values of `a=1,b=2`.
+pub fn pairs(terms: &str) -> impl Iterator<Item = (&str, &str)> {
+    terms.split(',').filter_map(|term| term.split_once('='))
+}
+
 impl Command {
     /// Builds a command from the names and values that every wire carries in one form or another.
     ///
@@ -52,10 +57,10 @@
         platform: &Platform,
         customer: &str,
         id: &str,
-        terms: Vec<(String, String)>,
+        terms: String,
         body: Option<Vec<u8>>,
     ) -> Result<Command, BadCommand> {
-        let find = |name: &str| terms.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str());
+        let find = |name: &str| pairs(&terms).find(|(n, _)| *n == name).map(|(_, v)| v);
         let number = |name: &'static str, range: std::ops::RangeInclusive<f64>| {
             let value = find(name).and_then(|v| v.parse::<f64>().ok());
             value.filter(|v| range.contains(v)).ok_or(BadCommand::Term(name))
@@ -77,6 +82,12 @@
             repeat: find("r") == Some("1"),
         };
         let patience_ms = number("d", 0.0..=3.6e6)?;
+        // Guards the quota: an instance must not read other units or another class than this ingress did.
+        for name in ["c", "t", "d", "units", "spread", "first"] {
+            if pairs(&terms).filter(|(n, _)| *n == name).count() > 1 {
+                return Err(BadCommand::Term("terms"));
+            }
+        }
         Ok(Command {
             ask,
             customer: customer.into(),
@@ -206,7 +217,7 @@
     facade: Facade,
     held: HashMap<CommandId, Held>,
     expiries: BinaryHeap<Reverse<(u64, CommandId, u32)>>,
-    ready: HashMap<InstanceId, bool>,
+    ready: BTreeMap<InstanceId, bool>,
     effects: VecDeque<Effect>,
     next: CommandId,
     bytes: usize,
@@ -223,7 +234,7 @@
             facade,
             held: HashMap::new(),
             expiries: BinaryHeap::new(),
-            ready: HashMap::new(),
+            ready: BTreeMap::new(),
             effects: VecDeque::new(),
             next: 1,
             bytes: 0,
@@ -333,8 +344,17 @@
         }
     }
 
-    /// When [`Core::tick`] must be called at the latest.
-    pub fn next_due(&self) -> Option<f64> {
+    /// Whether an instance may be sent commands right now.
+    pub fn takes(&self, instance: InstanceId) -> bool {
+        self.ready.contains_key(&instance)
+    }
+
+    /// When [`Core::tick`] must be called at the latest. Deadlines of attempts that are over are dropped here:
+    /// each would cost a wake-up for nothing.
+    pub fn next_due(&mut self) -> Option<f64> {
+        while self.expiries.peek().is_some_and(|Reverse((_, id, attempt))| !self.is_out(*id, *attempt)) {
+            self.expiries.pop();
+        }
         let expiry = self.expiries.peek().map(|Reverse((due, _, _))| *due as f64 / 1e3);
         match (self.facade.next_due(), expiry) {
             (Some(a), Some(b)) => Some(a.min(b)),
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -188,8 +188,12 @@
         }
     }
 
-    /// When the next timer comes due.
-    pub fn next_due(&self) -> Option<f64> {
+    /// When the next timer comes due. Those that the module has no use for any more are dropped here: most
+    /// are the answer timers of commands that were served long before.
+    pub fn next_due(&mut self) -> Option<f64> {
+        while self.timers.peek().is_some_and(|Reverse((_, token))| !self.gateway.awaits(*token)) {
+            self.timers.pop();
+        }
         self.timers.peek().map(|Reverse((due, _))| *due as f64 / 1e3)
     }
 
--- a/src/front/http2.rs
+++ b/src/front/http2.rs
@@ -8,7 +8,7 @@
 use crate::core::{Answer, BadCommand, Command};
 use crate::node::Hub;
 use crate::wire::MOST_VALUE;
-use crate::wire_http2::{collect, list, plain, push_body, text, wording, COMMANDS, CUSTOMER, ID};
+use crate::wire_http2::{collect, plain, push_body, terms, text, wording, COMMANDS, CUSTOMER, ID};
 use bytes::Bytes;
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
@@ -47,12 +47,20 @@
 struct Connection {
     leave: Notify,
     flood: Notify,
+    leaving: Cell<bool>,
     streams: Cell<usize>,
     used: Cell<f64>,
     /// Resets since a time.
     resets: Cell<(u32, f64)>,
 }
 
+impl Connection {
+    fn leave(&self) {
+        self.leaving.set(true);
+        self.leave.notify_one();
+    }
+}
+
 /// The front.
 pub struct Http2Front {
     hub: Rc<Hub>,
@@ -70,6 +78,10 @@
     /// Takes in connections until its task is ended.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
         loop {
+            // With every place taken by somebody who is owed an answer, others wait in the listener's line.
+            while self.connections() >= self.limits.connections && !self.shed() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
             match listener.accept().await {
                 Ok((stream, _)) => self.open(stream),
                 Err(e) => {
@@ -82,12 +94,10 @@
     }
 
     fn open(self: &Rc<Self>, stream: TcpStream) {
-        if self.connections.borrow().len() >= self.limits.connections {
-            self.shed();
-        }
         let connection = Rc::new(Connection {
             leave: Notify::new(),
             flood: Notify::new(),
+            leaving: Cell::new(false),
             streams: Cell::new(0),
             used: Cell::new(self.hub.now()),
             resets: Cell::new((0, self.hub.now())),
@@ -105,19 +115,22 @@
         });
     }
 
-    /// Ends the connection that has been idle for longest.
-    fn shed(&self) {
+    /// Ends the connection that has been idle for longest; false: none is idle.
+    fn shed(&self) -> bool {
         let connections = self.connections.borrow();
-        let idle = connections.values().filter_map(Weak::upgrade).filter(|c| c.streams.get() == 0);
+        let idle = connections.values().filter_map(Weak::upgrade);
+        let idle = idle.filter(|c| c.streams.get() == 0 && !c.leaving.get());
         if let Some(connection) = idle.min_by(|a, b| a.used.get().total_cmp(&b.used.get())) {
-            connection.leave.notify_one();
+            connection.leave();
+            return true;
         }
+        false
     }
 
     /// Sends GOAWAY everywhere; open streams are finished.
     pub fn leave(&self) {
         let all: Vec<_> = self.connections.borrow().values().filter_map(Weak::upgrade).collect();
-        all.iter().for_each(|c| c.leave.notify_one());
+        all.iter().for_each(|c| c.leave());
     }
 
     /// Connections held.
@@ -247,12 +260,12 @@
     if head.method != Method::POST && head.method != Method::GET {
         return Err(Refused::Status(StatusCode::METHOD_NOT_ALLOWED, "POST or GET".into()));
     }
-    let (list, wait) = list(&head.headers, class).map_err(bad)?;
+    let (terms, wait) = terms(&head.headers, class).map_err(bad)?;
     let body = timeout(Duration::from_secs_f64(wait / 1e3), read_body(&mut stream)).await;
     let body = body.map_err(|_| Refused::Reset(Reason::CANCEL))??;
     let header = |name| text(&head.headers, name).map_err(bad);
     let (customer, id) = (header(CUSTOMER)?, header(ID)?);
-    let command = Command::new(hub.platform(), customer, id, list, body);
+    let command = Command::new(hub.platform(), customer, id, terms, body);
     match command {
         Ok(command) => Ok(Wanted::Command(Box::new(command))),
         // As on every wire, these have failed; what is malformed is told from them.
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -22,6 +22,8 @@
 const MOST_INPUT: usize = MOST_VALUE + 16 * 1024;
 /// Answers that a client does not read.
 const MOST_OUTPUT: usize = 1024 * 1024;
+/// A client that is in the middle of a command or an answer for this long is stuck, ms.
+const STALE_MS: f64 = 10_000.0;
 /// Unanswered commands on one connection; more are left unread.
 const MOST_PIPELINED: usize = 512;
 
@@ -64,6 +66,10 @@
     /// Takes in connections until its task is ended.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
         loop {
+            // With every place taken by somebody who is owed an answer, others wait in the listener's line.
+            while self.connections() >= self.budget && !self.shed() {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
             match listener.accept().await {
                 Ok((stream, _)) => self.open(stream),
                 // Out of descriptors, or the client is gone already.
@@ -77,9 +83,6 @@
     }
 
     fn open(self: &Rc<Self>, stream: TcpStream) {
-        if self.clients.borrow().len() >= self.budget {
-            self.shed();
-        }
         let _ = stream.set_nodelay(true);
         let (read, write) = stream.into_split();
         let client = Rc::new(Client {
@@ -108,13 +111,23 @@
         });
     }
 
-    /// Closes the connection that has been idle for longest.
-    fn shed(&self) {
+    /// Closes the connection that has been idle for longest; false: none is idle.
+    fn shed(&self) -> bool {
         let clients = self.clients.borrow();
+        // Guards against clients that take a place and neither finish a command nor read an answer.
+        let old = self.hub.now() - STALE_MS;
+        for client in clients.values().filter_map(Weak::upgrade).filter(|c| c.used.get() < old && !c.idle()) {
+            if client.slots.borrow().is_empty() {
+                client.broken.set(true);
+                client.wake.notify_one();
+            }
+        }
         let idle = clients.values().filter_map(Weak::upgrade).filter(|c| c.idle() && !c.leaving.get());
         if let Some(client) = idle.min_by(|a, b| a.used.get().total_cmp(&b.used.get())) {
             client.leave();
+            return true;
         }
+        false
     }
 
     /// Ends every connection as soon as nothing is owed on it.
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::core::{Command, Core, Effect};
 use crate::counter::{Counter, LANES};
-use crate::facade::{CommandId, Facade};
+use crate::facade::{CommandId, Facade, InstanceId};
 use crate::front::http2::Http2Front;
 use crate::front::resp::RespFront;
 use crate::front::ServiceClient;
@@ -143,6 +143,12 @@
         self.pump();
     }
 
+    /// Whether an instance may be sent commands right now: asked again just before a command is written, since
+    /// the name table may have changed while its connection came up.
+    pub fn takes(&self, instance: InstanceId) -> bool {
+        self.core.borrow().takes(instance)
+    }
+
     /// Takes a command; `known` hears its number before any answer can come.
     pub fn arrive(
         &self,
@@ -218,7 +224,7 @@
         let (mut swept, mut logged) = (self.now(), self.now());
         loop {
             let now = self.now();
-            let core = self.core.borrow().next_due();
+            let core = self.core.borrow_mut().next_due();
             let counter = self.counter.as_ref().and_then(|c| c.next_due());
             let due = core.into_iter().chain(counter).fold(now + LOOK_MS, f64::min);
             tokio::time::sleep_until(self.clock.instant(due).into()).await;
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -194,7 +194,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::wire::terms;
 
     const SETTINGS: &str = include_str!("../tests/stage/settings.json");
 
@@ -205,7 +204,7 @@
     fn decide(script: &str, on_error: OnError) -> Wish {
         let config = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#);
         let platform = crate::settings::Config::parse(&config).unwrap().platform;
-        let list = terms("c=book-rebroadcast,t=city,d=900,units=2,spread=1,first=0");
+        let list = "c=book-rebroadcast,t=city,d=900,units=2,spread=1,first=0".to_string();
         let command = Command::new(&platform, "0000000000000007", "k1", list, None).unwrap();
         let plugin = Plugin::new(&settings(on_error), "hook.rhai".into(), script).unwrap();
         plugin.decide(0.0, &platform, &command)
--- a/src/state.rs
+++ b/src/state.rs
@@ -284,6 +284,11 @@
         self.m.threshold
     }
 
+    /// Whether a timer that the module has set still means anything to it.
+    pub fn awaits(&self, token: u64) -> bool {
+        token == 0 || self.m.requests.contains_key(&(token as RequestId))
+    }
+
     /// How many customers are remembered.
     pub fn customers(&self) -> usize {
         self.m.customers.len()
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -58,6 +58,7 @@
 /// A connection to an instance.
 struct Link {
     stream: TcpStream,
+    addr: SocketAddr,
     input: RefCell<Ring>,
     output: RefCell<Ring>,
     _seat: Seat,
@@ -84,6 +85,7 @@
     /// When the instance last answered on it, and when an attempt last used it.
     heard: Rc<Cell<f64>>,
     used: Rc<Cell<f64>>,
+    addr: SocketAddr,
     up: Rc<Cell<bool>>,
 }
 
@@ -201,7 +203,7 @@
     }
 
     /// The newest idle connection that its peer has not closed.
-    fn reuse(&self, now: f64, instance: InstanceId) -> Option<Rc<Link>> {
+    fn reuse(&self, now: f64, instance: InstanceId, addr: SocketAddr) -> Option<Rc<Link>> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&instance)?;
         while let Some(idle) = pool.idle.pop() {
@@ -212,7 +214,8 @@
             // Guards against work that "may have run" for nothing: an end or a reset that is already here
             // is seen before the command is written.
             let quiet = idle.link.stream.try_read(&mut [0; 1]);
-            if quiet.is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
+            let moved = idle.link.addr != addr;
+            if !moved && quiet.is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
                 return Some(idle.link);
             }
         }
@@ -256,7 +259,7 @@
 
 async fn connect(hub: &Rc<Hub>, instance: InstanceId, addr: SocketAddr) -> Option<Rc<Link>> {
     let upstream = hub.upstream();
-    if let Some(link) = upstream.reuse(hub.now(), instance) {
+    if let Some(link) = upstream.reuse(hub.now(), instance, addr) {
         return Some(link);
     }
     let seat = upstream.seat(hub.now(), instance)?;
@@ -264,7 +267,7 @@
         Ok(Ok(stream)) => {
             let _ = stream.set_nodelay(true);
             let (input, output) = (Ring::new(MOST_REPLY).into(), Ring::new(MOST_REPLY).into());
-            Some(Rc::new(Link { stream, input, output, _seat: seat }))
+            Some(Rc::new(Link { stream, addr, input, output, _seat: seat }))
         }
         _ => {
             upstream.refused(hub.now(), instance);
@@ -333,7 +336,7 @@
 async fn shared(hub: &Rc<Hub>, instance: InstanceId, addr: SocketAddr) -> Option<Shared> {
     let upstream = hub.upstream();
     let known = upstream.pools.borrow().get(&instance).and_then(|pool| pool.shared.clone());
-    if let Some(shared) = known.filter(|shared| shared.up.get()) {
+    if let Some(shared) = known.filter(|shared| shared.up.get() && shared.addr == addr) {
         return Some(shared);
     }
     let seat = upstream.seat(hub.now(), instance)?;
@@ -349,7 +352,7 @@
     let now = hub.now();
     let up = Rc::new(Cell::new(true));
     let (heard, used) = (Rc::new(Cell::new(now)), Rc::new(Cell::new(now)));
-    let shared = Shared { send, heard, used, up: up.clone() };
+    let shared = Shared { send, heard, used, addr, up: up.clone() };
     spawn_local(async move {
         let _seat = seat;
         if let Err(e) = connection.await {
@@ -358,7 +361,7 @@
         up.set(false);
     });
     if let Some(pool) = upstream.pools.borrow_mut().get_mut(&instance) {
-        pool.shared.take_if(|shared| !shared.up.get());
+        pool.shared.take_if(|shared| !shared.up.get() || shared.addr != addr);
         pool.shared.get_or_insert_with(|| shared.clone());
     }
     Some(shared)
@@ -373,6 +376,9 @@
         return never;
     };
     let now = hub.now();
+    if !hub.takes(attempt.instance) {
+        return never;
+    }
     shared.used.set(now);
     let wait = attempt.until - now;
     let Ok(request) = wire_http2::request(hub.platform(), &attempt.command, wait) else { return never };
@@ -422,7 +428,8 @@
     let now = hub.now();
     let mut bytes = Vec::with_capacity(256);
     push_command(&mut bytes, hub.platform(), &attempt.command, attempt.until - now);
-    if link.output.borrow_mut().push(&bytes).is_err() || !write(&link).await {
+    let sent = link.output.borrow_mut().push(&bytes).is_ok() && hub.takes(attempt.instance);
+    if !sent || !write(&link).await {
         return End::without(Outcome::ConnectFailed);
     }
     let end = read(&link, |reply| ending(hub.platform(), reply)).await;
@@ -493,7 +500,7 @@
     };
     let Some(link) = connect(hub, instance, addr).await else { return failed };
     let mut bytes = Vec::new();
-    push_words(&mut bytes, [b"INFO".as_slice(), b"load"].into_iter());
+    push_words(&mut bytes, 2, [b"INFO".as_slice(), b"load"].into_iter());
     if link.output.borrow_mut().push(&bytes).is_err() || !write(&link).await {
         return failed;
     }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,6 +5,7 @@
 
 use crate::core::{BadCommand, Command};
 use crate::settings::Platform;
+use std::io::Write;
 use winnow::ascii::crlf;
 use winnow::combinator::{alt, preceded, terminated};
 use winnow::error::{ContextError, ErrMode};
@@ -145,13 +146,13 @@
 }
 
 /// Appends words as a RESP array of bulk strings.
-pub fn push_words<'a>(out: &mut Vec<u8>, words: impl ExactSizeIterator<Item = &'a [u8]>) {
+pub fn push_words<'a>(out: &mut Vec<u8>, count: usize, words: impl Iterator<Item = &'a [u8]>) {
     let digits = |sign: u8, n: usize, out: &mut Vec<u8>| {
         out.push(sign);
-        out.extend_from_slice(n.to_string().as_bytes());
-        out.extend_from_slice(b"\r\n");
+        // Writing to memory does not fail.
+        let _ = write!(out, "{n}\r\n");
     };
-    digits(b'*', words.len(), out);
+    digits(b'*', count, out);
     for word in words {
         digits(b'$', word.len(), out);
         out.extend_from_slice(word);
@@ -159,12 +160,6 @@
     }
 }
 
-/// The list `c=...,t=...` of a command as names and values.
-pub fn terms(text: &str) -> Vec<(String, String)> {
-    let pair = |t: &str| t.split_once('=').map(|(n, v)| (n.to_string(), v.to_string()));
-    text.split(',').filter_map(pair).collect()
-}
-
 /// A platform command's words as a command of the core; `words` begins after the verb.
 ///
 /// # Errors
@@ -172,8 +167,8 @@
 pub fn platform_command(platform: &Platform, safe: bool, words: &[&[u8]]) -> Result<Command, BadCommand> {
     let text = |i: usize, name| std::str::from_utf8(words[i]).map_err(|_| BadCommand::Term(name));
     let body = words.get(3).map(|b| b.to_vec());
-    let list = terms(text(2, "terms")?);
-    let command = Command::new(platform, text(0, "customer")?, text(1, "id")?, list, body)?;
+    let terms = text(2, "terms")?.to_string();
+    let command = Command::new(platform, text(0, "customer")?, text(1, "id")?, terms, body)?;
     // Guards the rule on double effects: a class travels under its own verb only.
     let effect = platform.module.classes[command.ask.class].effect;
     if (effect == crate::api::Effect::Safe) != safe {
@@ -186,26 +181,21 @@
 pub fn push_command(out: &mut Vec<u8>, platform: &Platform, command: &Command, wait_ms: f64) {
     let safe = platform.module.classes[command.ask.class].effect == crate::api::Effect::Safe;
     let verb: &[u8] = if safe { b"SVC.QUERY" } else { b"SVC.SUBMIT" };
-    let mut list = String::with_capacity(96);
-    for (name, value) in &command.terms {
-        let comma = if list.is_empty() { "" } else { "," };
-        list.push_str(comma);
-        list.push_str(name);
-        list.push('=');
-        if name == "d" {
-            list.push_str(&(wait_ms.max(1.0) as u64).to_string());
-        } else {
-            list.push_str(value);
+    let wait = (wait_ms.max(1.0) as u64).to_string();
+    let mut list = String::with_capacity(command.terms.len() + wait.len());
+    for term in command.terms.split(',') {
+        if !list.is_empty() {
+            list.push(',');
         }
-    }
-    let words = [verb, command.customer.as_bytes(), command.id.as_bytes(), list.as_bytes()];
-    match &command.body {
-        Some(body) => {
-            let all = [words[0], words[1], words[2], words[3], body];
-            push_words(out, all.into_iter());
+        match term.split_once('=') {
+            Some(("d", _)) => list.extend(["d=", &wait]),
+            _ => list.push_str(term),
         }
-        None => push_words(out, words.into_iter()),
     }
+    let words = [verb, command.customer.as_bytes(), command.id.as_bytes(), list.as_bytes()];
+    let body = command.body.as_deref();
+    let count = words.len() + usize::from(body.is_some());
+    push_words(out, count, words.into_iter().chain(body));
 }
 
 /// An HTTP/1.1 answer.
--- a/src/wire_http2.rs
+++ b/src/wire_http2.rs
@@ -3,10 +3,10 @@
 //! that a command never ran. It must never open a connection or decide about a command.
 
 use crate::api::{Effect, Outcome};
-use crate::core::{Answer, Command};
+use crate::core::{pairs, Answer, Command};
 use crate::front::advice;
 use crate::settings::Platform;
-use crate::wire::{terms, MOST_VALUE};
+use crate::wire::MOST_VALUE;
 use bytes::Bytes;
 use h2::{Reason, RecvStream};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -26,6 +26,8 @@
 pub const RETRY: &str = "req-retry";
 /// The other names and values: `units=2,spread=3,first=1`.
 pub const TERMS: &str = "api-terms";
+/// Terms of the platform's wire that have a header of their own.
+const OWN: [&str; 4] = ["c", "t", "d", "r"];
 /// Beside `retry-after`, which counts whole seconds: the advice in milliseconds.
 pub const RETRY_MS: &str = "retry-after-ms";
 /// To an instance: what the operator's hook noted, by name.
@@ -49,28 +51,28 @@
     value.to_str().map_err(|_| BadRequest(format!("{name} is not text")))
 }
 
-/// The names and values of a command from its headers, and how long the sender waits, ms.
+/// The terms of a command from its headers, and how long the sender waits, ms.
 ///
 /// # Errors
 /// The header that makes no sense.
-pub fn list(headers: &HeaderMap, class: &str) -> Result<(Vec<(String, String)>, f64), BadRequest> {
-    let deadline = text(headers, DEADLINE)?;
+pub fn terms(headers: &HeaderMap, class: &str) -> Result<(String, f64), BadRequest> {
+    let (deadline, plan) = (text(headers, DEADLINE)?, text(headers, PLAN)?);
     let ms: f64 = deadline.parse().map_err(|_| BadRequest(format!("{DEADLINE} is not a number")))?;
     if !(0.0..=3.6e6).contains(&ms) {
         return Err(BadRequest(format!("{DEADLINE} is out of range")));
     }
-    let pair = |name: &str, value: &str| (name.to_string(), value.to_string());
-    let mut list = vec![pair("c", class), pair("t", text(headers, PLAN)?), pair("d", deadline)];
-    let reserved = |name: &str| ["c", "t", "d", "r"].contains(&name);
-    list.extend(terms(text(headers, TERMS)?).into_iter().filter(|(name, _)| !reserved(name)));
     // A value with a comma would become a further term on the platform's wire.
-    if list.iter().any(|(_, value)| value.contains(',')) {
+    if [class, plan, deadline].iter().any(|value| value.contains(',')) {
         return Err(BadRequest("a value holds a comma".into()));
     }
+    let mut terms = format!("c={class},t={plan},d={deadline}");
+    for (name, value) in pairs(text(headers, TERMS)?).filter(|(name, _)| !OWN.contains(name)) {
+        terms.extend([",", name, "=", value]);
+    }
     if headers.get(RETRY).is_some_and(|r| r == "1") {
-        list.push(pair("r", "1"));
+        terms.push_str(",r=1");
     }
-    Ok((list, ms))
+    Ok((terms, ms))
 }
 
 /// A command as a request to an instance, which is told how long this ingress will wait.
@@ -81,8 +83,11 @@
     let class = command.ask.class;
     let safe = platform.module.classes[class].effect == Effect::Safe;
     let method = if safe && command.body.is_none() { Method::GET } else { Method::POST };
-    let others = command.terms.iter().filter(|(name, _)| !["c", "t", "d", "r"].contains(&name.as_str()));
-    let list: Vec<String> = others.map(|(name, value)| format!("{name}={value}")).collect();
+    let mut terms = String::with_capacity(command.terms.len());
+    for (name, value) in pairs(&command.terms).filter(|(name, _)| !OWN.contains(name)) {
+        let comma = if terms.is_empty() { "" } else { "," };
+        terms.extend([comma, name, "=", value]);
+    }
     let mut request = Request::builder()
         .method(method)
         .uri(format!("http://instance{COMMANDS}{}", platform.classes[class]))
@@ -90,7 +95,7 @@
         .header(ID, &command.id)
         .header(PLAN, &platform.plans[command.ask.plan])
         .header(DEADLINE, wait_ms.max(1.0) as u64)
-        .header(TERMS, list.join(","));
+        .header(TERMS, terms);
     if command.ask.repeat {
         request = request.header(RETRY, "1");
     }
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,166 @@
+//! The core alone, with a clock of the test's: no socket, no wire.
+
+use driftgap::core::{Answer, Command, Core, Effect, End, Start};
+use driftgap::facade::{CommandId, Facade};
+use driftgap::settings::Config;
+use driftgap::{HostEntry, HostState, ListKind, Outcome};
+use std::rc::Rc;
+
+const SETTINGS: &str = include_str!("stage/settings.json");
+const NOW: f64 = 1.0e12;
+
+struct Bed {
+    core: Core,
+    platform: Rc<driftgap::settings::Platform>,
+}
+
+impl Bed {
+    fn new(most_bytes: usize) -> Bed {
+        let text = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#)
+            .replace(r#""counter": true"#, r#""counter": false"#);
+        let platform = Rc::new(Config::parse(&text).unwrap().platform);
+        let facade = Facade::new(platform.module.clone(), 7).unwrap();
+        let mut core = Core::new(platform.clone(), facade, most_bytes);
+        core.names(NOW, ListKind::Full, (0..3).map(|h| entry(h, HostState::Ready)).collect());
+        Bed { core, platform }
+    }
+
+    fn ask(&mut self, class: &str, body: usize) -> CommandId {
+        let terms = format!("c={class},t=national,d=1000,units=2,spread=1,first=0");
+        let command = Command::new(&self.platform, "7", "k", terms, Some(vec![0; body])).unwrap();
+        self.core.arrive(NOW, command)
+    }
+
+    fn effects(&mut self) -> Vec<Effect> {
+        std::iter::from_fn(|| self.core.next_effect()).collect()
+    }
+
+    /// The one attempt that was started.
+    fn started(&mut self) -> Start {
+        let effects = self.effects();
+        let starts: Vec<_> = effects
+            .iter()
+            .filter_map(|e| if let Effect::Start(start) = e { Some(start.clone()) } else { None })
+            .collect();
+        assert_eq!(starts.len(), 1, "{effects:?}");
+        starts[0].clone()
+    }
+
+    fn end(&mut self, after: f64, start: &Start, outcome: Outcome) -> Vec<Effect> {
+        self.core.attempt_ended(NOW + after, start.id, start.attempt, End::without(outcome));
+        self.effects()
+    }
+}
+
+fn entry(host: u32, state: HostState) -> HostEntry {
+    HostEntry { host, zone: 0, cell: 0, state, size: 1.0, started: 0.0 }
+}
+
+#[test]
+fn an_answer_comes_once_whatever_follows() {
+    let mut bed = Bed::new(1 << 20);
+    let id = bed.ask("fetch-episode", 0);
+    let start = bed.started();
+    let end = End { outcome: Outcome::Ok, value: Some(b"news".to_vec()), load: vec![] };
+    bed.core.attempt_ended(NOW + 5.0, id, 0, end.clone());
+    assert_eq!(bed.effects(), vec![Effect::Reply(id, Answer::Served(b"news".to_vec()))]);
+    bed.core.attempt_ended(NOW + 6.0, id, 0, end);
+    bed.core.client_gone(NOW + 7.0, id);
+    bed.core.tick(NOW + 2000.0);
+    assert_eq!((bed.effects(), bed.core.owed(), start.attempt), (vec![], 0, 0));
+}
+
+#[test]
+fn work_with_an_effect_is_sent_again_only_if_it_never_ran() {
+    use Outcome::*;
+    for (outcome, again) in [(Full, true), (ConnectFailed, true), (Error, false), (Reset, false)] {
+        let mut bed = Bed::new(1 << 20);
+        let id = bed.ask("book-rebroadcast", 0);
+        let start = bed.started();
+        let effects = bed.end(5.0, &start, outcome);
+        let failed = effects.contains(&Effect::Reply(id, Answer::Failed { late: false }));
+        let sent = effects.iter().any(|e| matches!(e, Effect::Start(_)));
+        assert_eq!((sent, failed), (again, !again), "{outcome:?}: {effects:?}");
+    }
+}
+
+#[test]
+fn at_the_deadline_the_attempt_is_abandoned_and_the_client_told_once() {
+    let mut bed = Bed::new(1 << 20);
+    let id = bed.ask("book-rebroadcast", 0);
+    let start = bed.started();
+    assert_eq!(start.until, NOW + 1000.0);
+    let mut effects = Vec::new();
+    while bed.core.owed() > 0 || effects.len() < 2 {
+        let due = bed.core.next_due().expect("a timer");
+        assert!(due <= NOW + 1001.0, "nothing by the deadline");
+        bed.core.tick(due);
+        effects.extend(bed.effects());
+    }
+    let want = [Effect::Reply(id, Answer::Failed { late: true }), Effect::Abandon(id, 0)];
+    assert_eq!(effects, want);
+}
+
+#[test]
+fn a_served_command_leaves_no_timer_behind_but_the_modules_tick() {
+    // Guards against wake-ups for nothing: one timer and one deadline a command would wait out its patience.
+    let mut bed = Bed::new(1 << 20);
+    bed.ask("fetch-episode", 0);
+    let start = bed.started();
+    let end = End { outcome: Outcome::Ok, value: Some(vec![]), load: vec![] };
+    bed.core.attempt_ended(NOW + 5.0, start.id, 0, end);
+    let mut now = NOW + 5.0;
+    let mut wakes = 0;
+    while let Some(due) = bed.core.next_due().filter(|due| *due < NOW + 1100.0) {
+        now = due.max(now);
+        bed.core.tick(now);
+        wakes += 1;
+    }
+    assert!(wakes <= 24, "{wakes} wake-ups in 1.1 s");
+}
+
+#[test]
+fn a_client_that_goes_ends_its_attempt() {
+    let mut bed = Bed::new(1 << 20);
+    let id = bed.ask("fetch-episode", 0);
+    bed.started();
+    bed.core.client_gone(NOW + 5.0, id);
+    assert_eq!((bed.effects(), bed.core.owed()), (vec![Effect::Abandon(id, 0)], 0));
+}
+
+#[test]
+fn nothing_is_sent_to_an_instance_that_the_table_has_as_leaving() {
+    let mut bed = Bed::new(1 << 20);
+    let left = [entry(0, HostState::Draining), entry(1, HostState::Gone)];
+    bed.core.names(NOW, ListKind::Delta, left.to_vec());
+    assert_eq!(bed.effects(), vec![Effect::Release(0), Effect::Release(1)]);
+    for _ in 0..5 {
+        bed.ask("fetch-episode", 0);
+        assert_eq!(bed.started().instance, 2);
+    }
+    assert!(!bed.core.takes(0) && bed.core.takes(2));
+}
+
+#[test]
+fn memory_for_held_commands_is_bounded() {
+    let mut bed = Bed::new(100_000);
+    bed.ask("fetch-episode", 60_000);
+    bed.started();
+    let id = bed.ask("fetch-episode", 60_000);
+    assert!(matches!(bed.effects()[..], [Effect::Reply(i, Answer::Nack { .. })] if i == id));
+}
+
+#[test]
+fn terms_that_could_be_read_two_ways_are_no_command() {
+    let bed = Bed::new(1 << 20);
+    for terms in [
+        "c=fetch-episode,t=national,d=1000,units=2,spread=1,first=0,units=4",
+        "c=fetch-episode,t=national,d=1000,units=-2,spread=1,first=0",
+        "c=fetch-episode,t=national,d=soon,units=2,spread=1,first=0",
+        "c=fetch-episode,t=national,d=1000,units=NaN,spread=1,first=0",
+        "c=fetch-episode,t=national,units=2,spread=1,first=0",
+        "",
+    ] {
+        assert!(Command::new(&bed.platform, "7", "k", terms.into(), None).is_err(), "{terms}");
+    }
+}
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -234,3 +234,98 @@
          runs k2 0",
     );
 }
+
+#[test]
+fn a_counter_out_of_order_costs_no_command_its_answer() {
+    for fault in ["silent", "full", "late", "garbage", "close"] {
+        play(
+            Wire::Resp,
+            Wire::Resp,
+            &format!(
+                "always value news
+                 counter {fault}
+                 send c k1 fetch-episode national 7
+                 expect c k1 served news
+                 wait 300
+                 counter ok
+                 send c k2 fetch-episode national 7
+                 expect c k2 served news
+                 send c k3 fetch-episode national 8
+                 expect c k3 served news"
+            ),
+        );
+    }
+}
+
+#[test]
+fn discovery_out_of_order_leaves_the_last_list() {
+    for fault in ["garbage", "error", "nonsense"] {
+        play(
+            Wire::Resp,
+            Wire::Resp,
+            &format!(
+                "always value news
+                 agent {fault}
+                 state a leaving
+                 wait 100
+                 send c k1 fetch-episode city 7
+                 expect c k1 served news
+                 agent ok
+                 state b left
+                 wait 700
+                 send c k2 fetch-episode city 7
+                 expect c k2 busy"
+            ),
+        );
+    }
+}
+
+#[test]
+fn a_closed_idle_connection_is_not_reused() {
+    // The instance closes behind its answer; the next booking takes a new connection and is made once.
+    play(
+        Wire::Resp,
+        Wire::Resp,
+        "state b left
+         wait 50
+         send c k1 book-rebroadcast city 7
+         answer a k1 last booked
+         expect c k1 served booked
+         wait 50
+         send c k2 book-rebroadcast city 7
+         answer a k2 value again
+         expect c k2 served again
+         runs k2 1",
+    );
+}
+
+#[test]
+fn a_stream_above_the_last_id_of_a_goaway_never_ran() {
+    for front in [Wire::Resp, Wire::Http2] {
+        play(
+            front,
+            Wire::Http2,
+            "unseen
+             send c k1 book-rebroadcast city 7
+             expect c k1 busy
+             runs k1 0",
+        );
+    }
+}
+
+#[test]
+fn a_client_that_resets_without_end_loses_its_connection() {
+    let flood: String =
+        (0..220).map(|i| format!("send c k{i} fetch-episode national 7\nreset c k{i}\n")).collect();
+    play(
+        Wire::Http2,
+        Wire::Resp,
+        &format!(
+            "{flood}
+             expect c none closed
+             always value news
+             send d k fetch-episode city 8
+             expect d k served news"
+        ),
+    );
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -7,11 +7,14 @@
 //!     long C N                             a client writes a command of N bytes
 //!     expect C K WHAT                      its answer: served V, busy, failed, closed; or a prefix of a raw line
 //!     expect I K                           an attempt arrives whole (`*`: at any instance)
-//!     answer I K HOW                       value V, busy, error, half (breaks halfway), reset, refuse, goaway, garbage
+//!     answer I K HOW                       value V, last V (and closes, RESP), busy, error, half (breaks halfway), reset, refuse, goaway, garbage
 //!     always HOW                           from now on instances answer at once
 //!     reset C K / close C                  the client gives up a command (its connection on RESP) / closes
 //!     state I STATE                        discovery tells of an instance (a, b): active, leaving, left
 //!     inventory NAMES                      the operator's file names these, and is read again (SIGHUP)
+//!     unseen                               instances send GOAWAY below every stream (HTTP/2)
+//!     counter HOW                          it is silent, full, late, or answers garbage, close, ok
+//!     agent HOW                            discovery answers garbage, error, nonsense, ok
 //!     stop / expect exit                   SIGTERM / the program ends with status 0
 //!     wait MS                              time passes
 //!     runs K N                             N attempts for K have arrived in all
@@ -64,6 +67,11 @@
     runs: Rc<RefCell<HashMap<String, usize>>>,
     totals: Rc<RefCell<HashMap<String, f64>>>,
     always: Rc<RefCell<Option<String>>>,
+    /// How the counter and the agent behave; empty: as they should.
+    counter: Rc<RefCell<String>>,
+    agent: Rc<RefCell<String>>,
+    /// HTTP/2 instances turn connections away unseen.
+    unseen: Rc<RefCell<bool>>,
 }
 
 impl Shared {
@@ -98,7 +106,7 @@
         buffer.drain(..used);
         let Ok(how) = shared.arrive(&name, &id).await else { return };
         let reply = match how.split_once(' ').unwrap_or((&how, "")) {
-            ("value", v) => format!("*3\r\n${}\r\n{v}\r\n$-1\r\n$-1\r\n", v.len()),
+            ("value" | "last", v) => format!("*3\r\n${}\r\n{v}\r\n$-1\r\n$-1\r\n", v.len()),
             ("busy" | "refuse", _) => "-BUSY\r\n".to_string(),
             ("error", _) => "-ERR failed\r\n".to_string(),
             ("half", _) => "*3\r\n$10\r\nabc".to_string(),
@@ -106,13 +114,36 @@
             _ => String::new(),
         };
         let _ = stream.write_all(reply.as_bytes()).await;
-        if matches!(how.as_str(), "half" | "reset" | "goaway") {
+        if matches!(how.split(' ').next(), Some("half" | "reset" | "goaway" | "last")) {
             return;
         }
     }
 }
 
+/// Sends GOAWAY with last stream id 0: the streams that were opened have not been seen.
+async fn unseen(mut stream: TcpStream) {
+    let _ = stream.write_all(&[0, 0, 0, 4, 0, 0, 0, 0, 0]).await;
+    let mut buffer = Vec::new();
+    // Behind the preface: frames up to the headers of the first stream.
+    let headers = |bytes: &[u8]| {
+        let mut at = 24;
+        while let Some([a, b, c, kind]) = bytes.get(at..at + 4) {
+            if *kind == 1 {
+                return true;
+            }
+            at += 9 + usize::from(*a) * 65536 + usize::from(*b) * 256 + usize::from(*c);
+        }
+        false
+    };
+    while !headers(&buffer) && read_some(&mut stream, &mut buffer).await {}
+    let _ = stream.write_all(&[0, 0, 8, 7, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0]).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
 async fn http2_instance(name: String, stream: TcpStream, shared: Shared) {
+    if *shared.unseen.borrow() {
+        return unseen(stream).await;
+    }
     let Ok(mut connection) = h2::server::handshake(stream).await else { return };
     let abrupt = Rc::new(tokio::sync::Notify::new());
     loop {
@@ -177,7 +208,16 @@
                 *total += amount.parse::<f64>().unwrap();
                 total.to_string()
             };
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{total}", total.len());
+            let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{total}", total.len());
+            let how = shared.counter.borrow().clone();
+            match how.as_str() {
+                "silent" => continue,
+                "close" => return,
+                "late" => tokio::time::sleep(Duration::from_millis(200)).await,
+                "full" => answer = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".into(),
+                "garbage" => answer = "what?\r\n\r\n".into(),
+                _ => {}
+            }
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
@@ -189,7 +229,7 @@
 }
 
 /// The agent: the whole list, then the changes after the version held, as soon as there are any.
-async fn agent(mut stream: TcpStream, mut changes: watch::Receiver<Vec<String>>) {
+async fn agent(mut stream: TcpStream, mut changes: watch::Receiver<Vec<String>>, shared: Shared) {
     let mut buffer = Vec::new();
     loop {
         while !buffer.windows(4).any(|w| w == b"\r\n\r\n") {
@@ -210,7 +250,13 @@
             Some(held) => (false, changes.borrow().len(), changes.borrow()[held..].join(",")),
         };
         let body = format!(r#"{{"version":{version},"full":{full},"servers":[{servers}]}}"#);
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        match shared.agent.borrow().as_str() {
+            "garbage" => answer = "what?\r\n\r\n".into(),
+            "error" => answer = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n".into(),
+            "nonsense" => answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]".into(),
+            _ => {}
+        }
         if stream.write_all(answer.as_bytes()).await.is_err() {
             return;
         }
@@ -278,7 +324,8 @@
         let (list, watched) = watch::channel(vec![entries.join(",")]);
         let tallies = shared.clone();
         let counter = stand_in(move |s| counter(s, tallies.clone())).await;
-        let discovery = stand_in(move |s| agent(s, watched.clone())).await;
+        let agents = shared.clone();
+        let discovery = stand_in(move |s| agent(s, watched.clone(), agents.clone())).await;
         let (listen, second) = (free_port(), free_port());
         let folder = std::env::temp_dir().join(format!("driftgap-stage-{}-{listen}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
@@ -504,6 +551,9 @@
                 std::fs::write(self.folder.join("inventory.csv"), format!("{HEADER}{rows}")).unwrap();
                 self.signal("-HUP");
             }
+            ["unseen"] => *self.shared.unseen.borrow_mut() = true,
+            ["counter", how] => *self.shared.counter.borrow_mut() = how.to_string(),
+            ["agent", how] => *self.shared.agent.borrow_mut() = how.to_string(),
             ["stop"] => self.signal("-TERM"),
             ["wait", ms] => tokio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await,
             ["runs", id, n] => {
