--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -168,7 +168,8 @@
     fn fill(&self, ticket: u64, bytes: Vec<u8>) {
         {
             let mut slots = self.slots.borrow_mut();
-            let Some(slot) = slots.get_mut((ticket - self.first.get()) as usize) else { return };
+            let Some(at) = ticket.checked_sub(self.first.get()) else { return };
+            let Some(slot) = slots.get_mut(at as usize) else { return };
             *slot = Slot::Answered(bytes);
             while let Some(Slot::Answered(bytes)) = slots.front() {
                 if self.output.borrow_mut().push(bytes).is_err() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -205,12 +205,16 @@
 fn platform(root: &At) -> Res<Platform> {
     let limits = root.get("limits");
     let limit = |key: &str, absent: f64| match limits.as_ref().map(|l| l.number_or(key, absent)) {
-        Some(Ok(x)) if !(x.is_finite() && x > 0.0) => {
-            wrong(format!("settings: limits.{key} must be above 0"))
+        Some(Ok(x)) if !(x > 0.0 && x <= 1e6) => {
+            wrong(format!("settings: limits.{key} is not above 0 and up to 1000000"))
         }
         other => other.unwrap_or(Ok(absent)),
     };
     let report = root.get("report");
+    let count_wait = root.get("family_info").map_or(Ok(0.08), |f| f.number_or("count_wait", 0.08))?;
+    if !(0.0..=60.0).contains(&count_wait) {
+        return wrong("settings: family_info.count_wait is not from 0 to 60".into());
+    }
     Ok(Platform {
         module: module(root)?,
         classes: names(root, "request_classes", "name")?,
@@ -219,7 +223,7 @@
         columns: texts(report.and_then(|r| r.get("columns")))?,
         idle_ms: 1e3 * limit("conn_idle", 10.0)?,
         dial_ms: 1e3 * limit("dial_timeout", 0.25)?,
-        count_wait_ms: 1e3 * root.get("family_info").map_or(Ok(0.08), |f| f.number_or("count_wait", 0.08))?,
+        count_wait_ms: 1e3 * count_wait,
         most_held: limit("most_held", 20_000.0)? as usize,
     })
 }
@@ -248,6 +252,10 @@
         if !(64.0..=1e6).contains(&sockets) {
             return wrong(format!("limits.sockets: {sockets} is not from 64 to 1000000"));
         }
+        let memory_mb = limit("memory_mb", 192.0)?;
+        if !(1.0..=1e9).contains(&memory_mb) {
+            return wrong(format!("limits.memory_mb: {memory_mb} is not from 1 to 1e9"));
+        }
         let settings = root.need("settings")?;
         Ok(Config {
             name: root.get("name").map_or(Ok("ingress"), |n| n.text())?.to_string(),
@@ -256,7 +264,7 @@
             counter: root.get("counter").map(|c| address(&c)).transpose()?,
             seed,
             sockets: sockets as usize,
-            memory_mb: limit("memory_mb", 192.0)?,
+            memory_mb,
             known: value.get("known").cloned().unwrap_or(Value::Null),
             platform: platform(&At { value: settings.value, path: String::new() })?,
         })
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -46,6 +46,9 @@
         (with(r#""units_per_s": 0.97"#, r#""units_per_s": -1"#), "plans[0].rate"),
         (with(r#""balancers": 1"#, r#""balancers": 0"#), "gateways"),
         (with(r#""conn_idle": 15.0"#, r#""conn_idle": 0"#), "limits.conn_idle"),
+        (with(r#""dial_timeout": 0.25"#, r#""dial_timeout": 1e300"#), "limits.dial_timeout"),
+        (with(r#""count_wait": 0.08"#, r#""count_wait": -1"#), "family_info.count_wait"),
+        (with(r#""listen""#, r#""limits":{"memory_mb":-5},"listen""#), "limits.memory_mb"),
     ];
     for (i, (config, want)) in cases.iter().enumerate() {
         let said = refused(&format!("config{i}"), config, "");
