Bound what clients leave unread and bodies half come, over all connections

Tests: the ledger, longest bodies over all wires, 413. The stage's listeners now have a loopback address of their own: one run in ten had met another test's port (connection refused).

--- a/src/front/http2.rs
+++ b/src/front/http2.rs
@@ -8,7 +8,7 @@
 use crate::core::{Answer, BadCommand, Command};
 use crate::node::Hub;
 use crate::wire::MOST_VALUE;
-use crate::wire_http2::{collect, plain, push_body, terms, text, wording, COMMANDS, CUSTOMER, ID};
+use crate::wire_http2::{plain, push_body, terms, text, wording, COMMANDS, CUSTOMER, ID};
 use bytes::Bytes;
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
@@ -191,9 +191,9 @@
             command.patience_ms -= hub.now() - arrived;
             command
         }
-        Ok(Wanted::Word(status, word)) => return send(respond, plain(status), word.into()).await,
+        Ok(Wanted::Word(status, word)) => return send(hub, respond, plain(status), word.into()).await,
         Err(Refused::Reset(reason)) => return respond.send_reset(reason),
-        Err(Refused::Status(status, why)) => return send(respond, plain(status), why.into()).await,
+        Err(Refused::Status(status, why)) => return send(hub, respond, plain(status), why.into()).await,
     };
     let (tell, mut told) = oneshot::channel();
     let id = Cell::new(0);
@@ -208,7 +208,7 @@
     };
     if let Ok(answer) = answer {
         let (response, body) = wording(answer);
-        send(respond, response, body).await;
+        send(hub, respond, response, body).await;
     }
 }
 
@@ -261,8 +261,7 @@
         return Err(Refused::Status(StatusCode::METHOD_NOT_ALLOWED, "POST or GET".into()));
     }
     let (terms, wait) = terms(&head.headers, class).map_err(bad)?;
-    let body = timeout(Duration::from_secs_f64(wait / 1e3), read_body(&mut stream)).await;
-    let body = body.map_err(|_| Refused::Reset(Reason::CANCEL))??;
+    let body = read_body(&mut stream, Duration::from_secs_f64(wait / 1e3)).await?;
     let header = |name| text(&head.headers, name).map_err(bad);
     let (customer, id) = (header(CUSTOMER)?, header(ID)?);
     let command = Command::new(hub.platform(), customer, id, terms, body);
@@ -276,19 +275,36 @@
     }
 }
 
-async fn read_body(stream: &mut RecvStream) -> Result<Option<Vec<u8>>, Refused> {
+/// A body, as long as it comes within `wait`. Its bytes stay in the connection's window until it is whole, so
+/// that a connection never makes this ingress hold more than that window in bodies half come.
+async fn read_body(stream: &mut RecvStream, wait: Duration) -> Result<Option<Vec<u8>>, Refused> {
     if stream.is_end_stream() {
         return Ok(None);
     }
-    match collect(stream).await {
-        Ok(body) => Ok(Some(body)),
-        Err(Some(_)) => Err(Refused::Reset(Reason::CANCEL)),
-        Err(None) => Err(Refused::Status(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long".into())),
-    }
+    let mut body = Vec::new();
+    let whole = timeout(wait, async {
+        while let Some(part) = stream.data().await {
+            let part = part.map_err(|_| Refused::Reset(Reason::CANCEL))?;
+            body.extend_from_slice(&part);
+            if body.len() > MOST_VALUE {
+                let why = "the body is too long".to_string();
+                return Err(Refused::Status(StatusCode::PAYLOAD_TOO_LARGE, why));
+            }
+        }
+        Ok(())
+    });
+    let whole = whole.await.unwrap_or(Err(Refused::Reset(Reason::CANCEL)));
+    // On a stream that has ended there is nothing to give back.
+    let _ = stream.flow_control().release_capacity(body.len());
+    whole.map(|()| Some(body))
 }
 
 /// Sends an answer as the client's window allows; one that does not read it is cut off.
-async fn send(mut respond: SendResponse<Bytes>, response: Response<()>, body: Bytes) {
+async fn send(hub: &Hub, mut respond: SendResponse<Bytes>, response: Response<()>, body: Bytes) {
+    let unsent = hub.unsent();
+    if !unsent.add(body.len()) {
+        return respond.send_reset(Reason::ENHANCE_YOUR_CALM);
+    }
     let Ok(mut stream) = respond.send_response(response, body.is_empty()) else { return };
     if body.is_empty() {
         return;
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -2,7 +2,7 @@
 //! one ring a direction, and the order of pipelined answers. It must never answer a command twice or out of
 //! turn, read on while too many are unanswered, or decide about a command.
 
-use super::{advice, ServiceClient};
+use super::{advice, ServiceClient, Unsent};
 use crate::core::{Answer, Command};
 use crate::facade::CommandId;
 use crate::node::Hub;
@@ -38,6 +38,7 @@
     hub: Rc<Hub>,
     output: RefCell<Ring>,
     slots: RefCell<VecDeque<Slot>>,
+    unsent: Unsent,
     /// Ticket of the first slot.
     first: Cell<u64>,
     wake: Notify,
@@ -90,6 +91,7 @@
             hub: self.hub.clone(),
             output: Ring::new(MOST_OUTPUT).into(),
             slots: RefCell::default(),
+            unsent: self.hub.unsent(),
             first: Cell::new(0),
             wake: Notify::new(),
             broken: Cell::new(false),
@@ -170,6 +172,9 @@
             let mut slots = self.slots.borrow_mut();
             let Some(at) = ticket.checked_sub(self.first.get()) else { return };
             let Some(slot) = slots.get_mut(at as usize) else { return };
+            if !self.unsent.add(bytes.len()) {
+                self.broken.set(true);
+            }
             *slot = Slot::Answered(bytes);
             while let Some(Slot::Answered(bytes)) = slots.front() {
                 if self.output.borrow_mut().push(bytes).is_err() {
@@ -189,7 +194,10 @@
         let mut output = self.output.borrow_mut();
         while !output.is_empty() && !self.broken.get() {
             match self.stream.try_write(output.front()) {
-                Ok(n) => output.consume(n),
+                Ok(n) => {
+                    output.consume(n);
+                    self.unsent.sent(n);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(_) => self.broken.set(true),
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 use crate::facade::{CommandId, Facade, InstanceId};
 use crate::front::http2::Http2Front;
 use crate::front::resp::RespFront;
-use crate::front::ServiceClient;
+use crate::front::{ServiceClient, Unsent};
 use crate::inventory::{Inventory, InventoryError};
 use crate::name_table::{follow, NameTable};
 use crate::operator::Operator;
@@ -73,6 +73,8 @@
     counter: Option<Rc<Counter>>,
     clients: RefCell<HashMap<CommandId, Owed>>,
     plugin: Option<Plugin>,
+    unsent: Rc<Cell<usize>>,
+    most_unsent: usize,
     pumping: Cell<bool>,
     started: f64,
     answered: Cell<bool>,
@@ -100,6 +102,8 @@
             // Without discovery, what is known is all there is.
             answered: Cell::new(config.discovery.is_none()),
             plugin,
+            unsent: Rc::default(),
+            most_unsent: most_bytes / 2,
             me: me.clone(),
             platform,
             clock,
@@ -131,6 +135,11 @@
         self.answered.set(true);
     }
 
+    /// A new client's part of what clients may leave unread.
+    pub fn unsent(&self) -> Unsent {
+        Unsent::new(self.unsent.clone(), self.most_unsent)
+    }
+
     /// Whether commands can be served.
     pub fn can_serve(&self) -> bool {
         let told = self.answered.get() || self.now() - self.started > ALONE_MS;
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -329,3 +329,26 @@
         ),
     );
 }
+
+#[test]
+fn the_longest_bodies_pass_and_longer_ones_do_not() {
+    play_all(
+        "always value news
+         send c k1 book-rebroadcast national 7 body=65536
+         send c k2 book-rebroadcast national 7 body=65536
+         send c k3 book-rebroadcast national 7 body=65536
+         send c k4 book-rebroadcast national 7 body=65536
+         send c k5 book-rebroadcast national 7 body=65536
+         expect c k1 served news
+         expect c k2 served news
+         expect c k3 served news
+         expect c k4 served news
+         expect c k5 served news",
+    );
+    play(
+        Wire::Http2,
+        Wire::Resp,
+        "send c k1 book-rebroadcast national 7 body=66000
+         expect c k1 413",
+    );
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -2,7 +2,7 @@
 //! loopback, and the scenario language that drives them. One line, one step; `C` is a client's connection,
 //! `I` an instance, `K` a command's id:
 //!
-//!     send C K CLASS PLAN PARTNER [d=MS]   a client sends a command
+//!     send C K CLASS PLAN PARTNER [d=MS] [body=BYTES]   a client sends a command
 //!     raw C TEXT                           a client writes bytes as they stand (\r\n are escapes)
 //!     long C N                             a client writes a command of N bytes
 //!     expect C K WHAT                      its answer: served V, busy, failed, closed; or a prefix of a raw line
@@ -29,6 +29,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -154,9 +155,16 @@
         let Some(Ok((request, mut respond))) = next else { return };
         let (name, shared, abrupt) = (name.clone(), shared.clone(), abrupt.clone());
         spawn_local(async move {
-            let id = request.headers()["req-id"].to_str().unwrap().to_string();
+            let Some(id) = request.headers().get("req-id").map(|id| id.to_str().unwrap().to_string()) else {
+                // A probe.
+                let load = http::Response::new(());
+                let mut send = respond.send_response(load, false).unwrap();
+                return send.send_data(Bytes::from_static(b"lat_ms=40,rif=1,busy=0.5"), true).unwrap();
+            };
             let mut body = request.into_body();
-            while body.data().await.is_some() {}
+            while let Some(Ok(part)) = body.data().await {
+                let _ = body.flow_control().release_capacity(part.len());
+            }
             let how = tokio::select! {
                 how = shared.arrive(&name, &id) => how,
                 _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
@@ -286,7 +294,7 @@
 struct Stage {
     program: Child,
     front: Wire,
-    ports: HashMap<&'static str, u16>,
+    ports: HashMap<&'static str, String>,
     clients: HashMap<String, Client>,
     shared: Shared,
     list: watch::Sender<Vec<String>>,
@@ -295,8 +303,11 @@
     folder: PathBuf,
 }
 
-fn free_port() -> u16 {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+/// A loopback address of this stage alone, so that no other test's program or connection can hold its ports.
+fn own_address() -> String {
+    static STAGES: AtomicU32 = AtomicU32::new(0);
+    let (stage, process) = (STAGES.fetch_add(1, Ordering::Relaxed), std::process::id());
+    format!("127.{}.{}.{}", 10 + process % 200, process / 200 % 250, 1 + stage % 250)
 }
 
 fn entry(name: &str, port: u16, wire: Wire, state: &str) -> String {
@@ -326,16 +337,16 @@
         let counter = stand_in(move |s| counter(s, tallies.clone())).await;
         let agents = shared.clone();
         let discovery = stand_in(move |s| agent(s, watched.clone(), agents.clone())).await;
-        let (listen, second) = (free_port(), free_port());
-        let folder = std::env::temp_dir().join(format!("driftgap-stage-{}-{listen}", std::process::id()));
+        let (host, listen, second) = (own_address(), 6379, 8080);
+        let folder = std::env::temp_dir().join(format!("driftgap-stage-{}-{host}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let (config, operator) = (folder.join("config.json"), folder.join("operator.toml"));
         let text = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:{listen}","discovery":"127.0.0.1:{discovery}",
+            r#"{{"name":"n0","listen":"{host}:{listen}","discovery":"127.0.0.1:{discovery}",
                 "counter":"127.0.0.1:{counter}","seed":"1f","limits":{{"sockets":256}},"settings":{SETTINGS}}}"#
         );
         std::fs::write(&config, text).unwrap();
-        let sections = format!("[http2]\nlisten = \"127.0.0.1:{second}\"\n{OPERATOR}");
+        let sections = format!("[http2]\nlisten = \"{host}:{second}\"\n{OPERATOR}");
         std::fs::write(&operator, sections).unwrap();
         std::fs::write(folder.join("hook.rhai"), HOOK).unwrap();
         std::fs::write(folder.join("inventory.csv"), HEADER).unwrap();
@@ -345,7 +356,8 @@
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let ports = [("resp", listen), ("http2", second)].into();
+        let ports =
+            [("resp", listen), ("http2", second)].map(|(wire, port)| (wire, format!("{host}:{port}"))).into();
         let clients = HashMap::new();
         let mut stage =
             Stage { program, front, ports, clients, shared, list, instances, answers: Vec::new(), folder };
@@ -356,7 +368,7 @@
     /// Waits until the program says that it can serve.
     async fn ready(&mut self) {
         for _ in 0..400 {
-            if let Ok(mut stream) = TcpStream::connect(("127.0.0.1", self.ports["resp"])).await {
+            if let Ok(mut stream) = TcpStream::connect(&self.ports["resp"]).await {
                 let mut buffer = Vec::new();
                 let _ = stream.write_all(b"*1\r\n$4\r\nPING\r\n").await;
                 if read_some(&mut stream, &mut buffer).await && buffer.starts_with(b"+PONG") {
@@ -370,8 +382,8 @@
 
     async fn client(&mut self, name: &str) -> &mut Client {
         if !self.clients.contains_key(name) {
-            let port = if self.front == Wire::Resp { self.ports["resp"] } else { self.ports["http2"] };
-            let stream = TcpStream::connect(("127.0.0.1", port)).await.unwrap();
+            let address = if self.front == Wire::Resp { &self.ports["resp"] } else { &self.ports["http2"] };
+            let stream = TcpStream::connect(address).await.unwrap();
             let client = match self.front {
                 Wire::Resp => Client::Resp { stream, buffer: Vec::new(), sent: VecDeque::new() },
                 Wire::Http2 => {
@@ -392,6 +404,8 @@
 
     async fn send(&mut self, words: &[&str]) {
         let [name, id, class, plan, partner, rest @ ..] = words else { panic!("{words:?}") };
+        let size = rest.iter().find_map(|w| w.strip_prefix("body=")).unwrap_or("4");
+        let content = "B".repeat(size.parse().unwrap());
         let d = rest.iter().find_map(|w| w.strip_prefix("d=")).unwrap_or("2000");
         match self.client(name).await {
             Client::Resp { stream, sent, .. } => {
@@ -399,7 +413,7 @@
                 let terms = format!("c={class},t={plan},d={d},units=2,spread=1,first=0");
                 let partner = format!("{partner:0>16}");
                 let mut text = "*5\r\n".to_string();
-                for word in [verb, partner.as_str(), id, &terms, "BODY"] {
+                for word in [verb, partner.as_str(), id, &terms, &content] {
                     text.push_str(&format!("${}\r\n{word}\r\n", word.len()));
                 }
                 stream.write_all(text.as_bytes()).await.unwrap();
@@ -416,7 +430,7 @@
                     .unwrap();
                 let mut ready = send.clone().ready().await.unwrap();
                 let (response, mut body) = ready.send_request(request, false).unwrap();
-                body.send_data(Bytes::from_static(b"BODY"), true).unwrap();
+                body.send_data(content.into(), true).unwrap();
                 streams.insert(id.to_string(), (response, body));
             }
         }
