--- a/src/name_table.rs
+++ b/src/name_table.rs
@@ -264,3 +264,38 @@
     }
     Ok(version)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn one_bad_entry_is_left_out_and_a_bad_list_takes_nothing() {
+        let mut table = NameTable::new(vec!["a".into(), "b".into()]);
+        let list = serde_json::json!({"version": 41, "full": true, "servers": [
+            {"id": "s-1", "addr": "127.0.0.1:1", "zone": "b", "cell": 3, "state": "active", "weight": 1.5,
+             "started_ms": 2000},
+            {"id": "s-2", "addr": "nowhere", "zone": "a", "cell": 3, "state": "active", "weight": 1.0},
+            {"id": "s-3", "addr": "127.0.0.1:3", "zone": "a", "cell": 3, "state": "on fire"},
+            {"addr": "127.0.0.1:4", "state": "active"}
+        ]});
+        let news = table.take(&list).unwrap();
+        let want = HostEntry { host: 0, zone: 1, cell: 3, state: HostState::Ready, size: 1.5, started: 2.0 };
+        assert_eq!((news.kind, news.version, news.entries), (ListKind::Full, 41, vec![want]));
+        for bad in
+            [serde_json::json!([]), serde_json::json!({"version": 1}), serde_json::json!({"servers": []})]
+        {
+            assert!(table.take(&bad).is_err(), "{bad}");
+        }
+    }
+
+    #[test]
+    fn a_whole_list_of_discoverys_does_not_end_what_the_inventory_names() {
+        let mut table = NameTable::new(vec![]);
+        let id = table.number("mine");
+        let mine = HostEntry { host: id, zone: 0, cell: 0, state: HostState::Ready, size: 1.0, started: 0.0 };
+        table.keep_inventory(std::slice::from_ref(&mine));
+        let empty = serde_json::json!({"version": 1, "full": true, "servers": []});
+        assert_eq!(table.take(&empty).unwrap().entries, vec![mine]);
+    }
+}
