SIGHUP rereads the configuration and moves discovery and counter at once

After the first SIGHUP the log had "SIGHUP: no inventory to read", every counter call failed and no change of the list arrived any more. At fault: node.rs `run`, whose signal loop knew the inventory only and ended with SIGTERM; Counter held its address for good; main read the files before anybody listened for SIGHUP. Now: `hear` runs until the program ends, also through the drain. The agent's task is replaced and asks for the whole list; the counter keeps its old place for calls already written and gives what was not written to the new one. A wrong file keeps the old configuration and logs the field. Also: an answer of the counter without a number ends its connection. Ruled out: a lost list (the old one serves until the new agent answers), and double counting (written calls are never written again). Tests: two scenarios over all pairs of wires, one for the wrong file.

--- a/src/counter.rs
+++ b/src/counter.rs
@@ -1,13 +1,15 @@
 //! Calls to the counter service. It owns a few pipelined connections; a name always takes the same one, so
-//! that its answers come in the order of its calls. It must never repeat a call that may have counted, take
-//! a late answer for another call's, or hold a call back beyond the wait in the settings.
+//! that its answers come in the order of its calls. When the service moves, calls already written are
+//! answered where they were made and all others go to the new place. It must never repeat a call that may
+//! have counted, take a late answer for another call's, use a connection on which an answer made no sense,
+//! or hold a call back beyond the wait in the settings.
 
 use crate::api::Outcome;
 use crate::facade::Add;
 use crate::node::Hub;
 use crate::ring::Ring;
 use crate::wire::{http_answer, Parsed};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Write};
 use std::net::SocketAddr;
@@ -31,7 +33,7 @@
 const MOST: usize = 256 * 1024;
 
 struct Call {
-    name: u64,
+    add: Add,
     made: f64,
     /// Its end was told; the answer, if one comes, is dropped.
     told: bool,
@@ -43,82 +45,71 @@
     /// Written, in the order of the answers to come.
     written: VecDeque<Call>,
     /// Not written for want of a connection.
-    waiting: VecDeque<(Call, Vec<u8>)>,
+    waiting: VecDeque<Call>,
     stream: Option<Rc<OwnedWriteHalf>>,
     output: Option<Ring>,
     connecting: bool,
     used: f64,
 }
 
-/// The calls of this ingress.
-pub struct Counter {
+/// The counter at one address.
+struct Place {
     addr: SocketAddr,
-    wait_ms: f64,
     lanes: [RefCell<Lane>; LANES],
     wake: [Notify; LANES],
+    /// The service has moved: this place gets no further call.
+    left: Cell<bool>,
 }
 
-impl Counter {
-    /// A counter at an address; calls wait this long for their answers.
-    pub fn new(addr: SocketAddr, wait_ms: f64) -> Counter {
-        Counter { addr, wait_ms, lanes: Default::default(), wake: Default::default() }
+/// The calls of this ingress.
+pub struct Counter {
+    wait_ms: f64,
+    place: RefCell<Option<Rc<Place>>>,
+    /// Where the service was, as long as calls are under way there.
+    left: RefCell<Vec<Rc<Place>>>,
+}
+
+impl Place {
+    fn new(addr: SocketAddr) -> Rc<Place> {
+        let (lanes, wake) = Default::default();
+        Rc::new(Place { addr, lanes, wake, left: Cell::new(false) })
     }
 
-    /// Makes a call; its end is told to the hub.
-    pub fn add(self: &Rc<Self>, hub: &Rc<Hub>, add: Add) {
-        let Add { name, amount, lives_ms } = add;
-        let lane_no = (name % LANES as u64) as usize;
-        let now = hub.now();
-        let call = Call { name, made: now, told: false };
-        let keep = lives_ms.clamp(1.0, 60_000.0) as u64;
-        let mut text = Vec::with_capacity(128);
-        let _ = write!(
-            text,
-            "POST /tally/{name:016x}?n={amount}&keep_ms={keep} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n\r\n",
-            self.addr
-        );
+    fn under_way(&self) -> bool {
+        self.lanes.iter().any(|lane| lane.borrow().written.iter().any(|c| !c.told))
+    }
+
+    fn call(self: &Rc<Self>, hub: &Rc<Hub>, wait_ms: f64, call: Call) {
+        let lane_no = (call.add.name % LANES as u64) as usize;
         let mut lane = self.lanes[lane_no].borrow_mut();
-        lane.used = now;
+        lane.used = hub.now();
         if lane.stream.is_some() {
-            if let Err(call) = lane.send(call, &text) {
-                lane.waiting.push_back((call, text));
+            if let Err(call) = lane.send(call, self.addr) {
+                lane.waiting.push_back(call);
             }
             if lane.output.as_ref().is_some_and(|o| !o.is_empty()) {
                 self.wake[lane_no].notify_one();
             }
             return;
         }
-        lane.waiting.push_back((call, text));
+        lane.waiting.push_back(call);
         if !lane.connecting {
             lane.connecting = true;
-            spawn_local(serve(self.clone(), hub.clone(), lane_no));
+            spawn_local(serve(self.clone(), hub.clone(), wait_ms, lane_no));
         }
     }
 
-    /// When [`Counter::expire`] has something to do.
-    pub fn next_due(&self) -> Option<f64> {
-        let due = |lane: &RefCell<Lane>| {
-            let lane = lane.borrow();
-            let written = lane.written.iter().find(|c| !c.told).map(|c| c.made);
-            let waiting = lane.waiting.front().map(|(c, _)| c.made);
-            written.into_iter().chain(waiting).min_by(f64::total_cmp)
-        };
-        self.lanes.iter().filter_map(due).min_by(f64::total_cmp).map(|made| made + self.wait_ms)
-    }
-
-    /// Ends the calls that have waited long enough and closes what is idle or dead.
-    pub fn expire(&self, hub: &Rc<Hub>, now: f64) {
-        let mut ended = Vec::new();
+    /// Ends the calls made before `late` and closes what is idle or dead.
+    fn expire(&self, now: f64, late: f64, ended: &mut Vec<(u64, Outcome)>) {
         for (lane, wake) in self.lanes.iter().zip(&self.wake) {
             let mut lane = lane.borrow_mut();
-            let late = now - self.wait_ms;
             for call in lane.written.iter_mut().take_while(|c| c.made <= late).filter(|c| !c.told) {
                 call.told = true;
-                ended.push((call.name, Outcome::Timeout));
+                ended.push((call.add.name, Outcome::Timeout));
             }
             // Never written, so nothing was added; dropped, so nothing ever will be.
-            while lane.waiting.front().is_some_and(|(c, _)| c.made <= late) {
-                ended.extend(lane.waiting.pop_front().map(|(c, _)| (c.name, Outcome::ConnectFailed)));
+            while lane.waiting.front().is_some_and(|c| c.made <= late) {
+                ended.extend(lane.waiting.pop_front().map(|c| (c.add.name, Outcome::ConnectFailed)));
             }
             let dead = lane.written.front().is_some_and(|c| now - c.made > DEAD_MS);
             let idle = lane.written.is_empty() && lane.waiting.is_empty() && now - lane.used > IDLE_MS;
@@ -127,6 +118,71 @@
                 wake.notify_one();
             }
         }
+    }
+}
+
+impl Counter {
+    /// A counter at an address, if there is one; calls wait this long for their answers.
+    pub fn new(addr: Option<SocketAddr>, wait_ms: f64) -> Counter {
+        Counter { wait_ms, place: RefCell::new(addr.map(Place::new)), left: RefCell::default() }
+    }
+
+    /// Makes a call; its end is told to the hub.
+    pub fn add(&self, hub: &Rc<Hub>, add: Add) {
+        self.call(hub, Call { add, made: hub.now(), told: false });
+    }
+
+    fn call(&self, hub: &Rc<Hub>, call: Call) {
+        let place = self.place.borrow().clone();
+        match place {
+            Some(place) => place.call(hub, self.wait_ms, call),
+            None => tell(hub, vec![(call.add.name, Outcome::ConnectFailed)]),
+        }
+    }
+
+    /// The service is elsewhere from now on. What was written to the old place may have counted there and is
+    /// not written again; what was not goes to the new one at once.
+    pub fn move_to(&self, hub: &Rc<Hub>, addr: Option<SocketAddr>) {
+        if self.place.borrow().as_ref().map(|p| p.addr) == addr {
+            return;
+        }
+        let Some(old) = self.place.replace(addr.map(Place::new)) else { return };
+        old.left.set(true);
+        let unwritten: Vec<Call> =
+            old.lanes.iter().flat_map(|lane| std::mem::take(&mut lane.borrow_mut().waiting)).collect();
+        self.left.borrow_mut().push(old);
+        for call in unwritten {
+            self.call(hub, call);
+        }
+    }
+
+    /// When [`Counter::expire`] has something to do.
+    pub fn next_due(&self) -> Option<f64> {
+        let due = |lane: &RefCell<Lane>| {
+            let lane = lane.borrow();
+            let written = lane.written.iter().find(|c| !c.told).map(|c| c.made);
+            let waiting = lane.waiting.front().map(|c| c.made);
+            written.into_iter().chain(waiting).min_by(f64::total_cmp)
+        };
+        let (place, left) = (self.place.borrow(), self.left.borrow());
+        let lanes = place.iter().chain(left.iter()).flat_map(|p| &p.lanes);
+        lanes.filter_map(due).min_by(f64::total_cmp).map(|made| made + self.wait_ms)
+    }
+
+    /// Ends the calls that have waited long enough and closes what is idle, dead or left behind.
+    pub fn expire(&self, hub: &Rc<Hub>, now: f64) {
+        let mut ended = Vec::new();
+        for place in self.place.borrow().iter().chain(self.left.borrow().iter()) {
+            place.expire(now, now - self.wait_ms, &mut ended);
+        }
+        self.left.borrow_mut().retain(|place| {
+            let under_way = place.under_way();
+            if !under_way {
+                place.lanes.iter().for_each(|lane| lane.borrow_mut().stream = None);
+                place.wake.iter().for_each(Notify::notify_one);
+            }
+            under_way
+        });
         tell(hub, ended);
     }
 }
@@ -139,9 +195,17 @@
 
 impl Lane {
     /// Writes a call behind those already written, or gives it back, unwritten, where there is no room.
-    fn send(&mut self, call: Call, text: &[u8]) -> Result<(), Call> {
+    fn send(&mut self, call: Call, host: SocketAddr) -> Result<(), Call> {
         let (Some(stream), Some(output)) = (&self.stream, &mut self.output) else { return Err(call) };
-        let direct = if output.is_empty() { stream.try_write(text).unwrap_or(0) } else { 0 };
+        let Add { name, amount, lives_ms } = call.add;
+        let keep = lives_ms.clamp(1.0, 60_000.0) as u64;
+        let mut text = Vec::with_capacity(128);
+        // Writing to memory does not fail.
+        let _ = write!(
+            text,
+            "POST /tally/{name:016x}?n={amount}&keep_ms={keep} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let direct = if output.is_empty() { stream.try_write(&text).unwrap_or(0) } else { 0 };
         if output.push(&text[direct..]).is_err() {
             return Err(call);
         }
@@ -153,19 +217,22 @@
     /// written whole, but telling which would gain little: they count as "may have".
     fn broke(&mut self) -> Vec<(u64, Outcome)> {
         (self.stream, self.output) = (None, None);
-        self.written.drain(..).filter(|c| !c.told).map(|c| (c.name, Outcome::Timeout)).collect()
+        self.written.drain(..).filter(|c| !c.told).map(|c| (c.add.name, Outcome::Timeout)).collect()
     }
 }
 
 /// One connection of a lane, from its connect to its end.
-async fn serve(counter: Rc<Counter>, hub: Rc<Hub>, lane_no: usize) {
-    let lane = &counter.lanes[lane_no];
-    let wait = Duration::from_secs_f64(counter.wait_ms.max(1.0) / 1e3);
-    let connected = timeout(wait, TcpStream::connect(counter.addr)).await;
+async fn serve(place: Rc<Place>, hub: Rc<Hub>, wait_ms: f64, lane_no: usize) {
+    let lane = &place.lanes[lane_no];
+    let wait = Duration::from_secs_f64(wait_ms.max(1.0) / 1e3);
+    let connected = timeout(wait, TcpStream::connect(place.addr)).await;
     lane.borrow_mut().connecting = false;
+    if place.left.get() {
+        return;
+    }
     let Ok(Ok(stream)) = connected else {
         let failed: Vec<_> =
-            lane.borrow_mut().waiting.drain(..).map(|(c, _)| (c.name, Outcome::ConnectFailed)).collect();
+            lane.borrow_mut().waiting.drain(..).map(|c| (c.add.name, Outcome::ConnectFailed)).collect();
         return tell(&hub, failed);
     };
     let _ = stream.set_nodelay(true);
@@ -174,15 +241,15 @@
     {
         let mut lane = lane.borrow_mut();
         (lane.stream, lane.output) = (Some(stream.clone()), Some(Ring::new(MOST)));
-        while let Some((call, text)) = lane.waiting.pop_front() {
-            if let Err(call) = lane.send(call, &text) {
-                lane.waiting.push_front((call, text));
+        while let Some(call) = lane.waiting.pop_front() {
+            if let Err(call) = lane.send(call, place.addr) {
+                lane.waiting.push_front(call);
                 break;
             }
         }
     }
     let mut input = Ring::new(MOST);
-    while exchange(&counter, &hub, lane_no, &stream, &mut read, &mut input).await {}
+    while exchange(&place, &hub, lane_no, &stream, &mut read, &mut input).await {}
     let mine = lane.borrow().stream.as_ref().is_some_and(|s| Rc::ptr_eq(s, &stream));
     if mine {
         let ended = lane.borrow_mut().broke();
@@ -192,14 +259,14 @@
 
 /// Waits for bytes to read or room to write; false: the connection has ended.
 async fn exchange(
-    counter: &Rc<Counter>,
+    place: &Rc<Place>,
     hub: &Rc<Hub>,
     lane_no: usize,
     stream: &Rc<OwnedWriteHalf>,
     read: &mut OwnedReadHalf,
     input: &mut Ring,
 ) -> bool {
-    let lane = &counter.lanes[lane_no];
+    let lane = &place.lanes[lane_no];
     let more = lane.borrow().output.as_ref().is_some_and(|o| !o.is_empty());
     let Ok(spare) = input.spare() else { return false };
     let got = tokio::select! {
@@ -208,7 +275,7 @@
             Ok(n) => n,
         },
         _ = stream.writable(), if more => 0,
-        () = counter.wake[lane_no].notified() => 0,
+        () = place.wake[lane_no].notified() => 0,
     };
     input.filled(got);
     {
@@ -234,18 +301,20 @@
             Err(_) => return false,
         };
         let Some(call) = lane.borrow_mut().written.pop_front() else { return false };
+        let total = std::str::from_utf8(&answer.body).ok().and_then(|t| t.trim().parse::<f64>().ok());
+        let (outcome, total) = match (answer.status, total) {
+            (200, Some(total)) if total.is_finite() => (Outcome::Ok, total),
+            // Added, but the total is garbage.
+            (200, _) => (Outcome::Timeout, 0.0),
+            (503, _) => (Outcome::Full, 0.0),
+            _ => (Outcome::Error, 0.0),
+        };
         if !call.told {
-            let total = std::str::from_utf8(&answer.body).ok().and_then(|t| t.trim().parse::<f64>().ok());
-            let (outcome, total) = match (answer.status, total) {
-                (200, Some(total)) if total.is_finite() => (Outcome::Ok, total),
-                // Added, but the total is garbage.
-                (200, _) => (Outcome::Timeout, 0.0),
-                (503, _) => (Outcome::Full, 0.0),
-                _ => (Outcome::Error, 0.0),
-            };
-            hub.with_core(|core, now| core.counted(now, call.name, outcome, total));
+            hub.with_core(|core, now| core.counted(now, call.add.name, outcome, total));
         }
-        if answer.close {
+        // Guards against a connection on which an answer came spoilt: what follows on it may be the rest of
+        // that, and would be taken for the totals of other calls.
+        if answer.close || outcome == Outcome::Timeout {
             return false;
         }
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,7 +2,7 @@
 //! network and the network's news to the core, runs the timer, and steps through start and drain. It must
 //! never decide about a command, nor hold the core while it touches a socket.
 
-use crate::api::{ListKind, Outcome};
+use crate::api::ListKind;
 use crate::clock::Clock;
 use crate::core::{Command, Core, Effect};
 use crate::counter::{Counter, LANES};
@@ -18,11 +18,13 @@
 use crate::upstream::Upstream;
 use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::spawn_local;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::task::{spawn_local, AbortHandle};
 
 /// Longest between two looks at the timers, ms; the module's own tick is as long.
 const LOOK_MS: f64 = 50.0;
@@ -48,7 +50,7 @@
     Known(#[from] crate::name_table::BadList),
     /// The address cannot be listened on.
     #[error("listen: {0}: {1}")]
-    Listen(std::net::SocketAddr, std::io::Error),
+    Listen(SocketAddr, std::io::Error),
     /// The inventory makes no sense.
     #[error("inventory {0}: {1}")]
     Inventory(String, InventoryError),
@@ -70,7 +72,9 @@
     core: RefCell<Core>,
     table: RefCell<NameTable>,
     upstream: Upstream,
-    counter: Option<Rc<Counter>>,
+    counter: Counter,
+    /// Who tells the name table, and the task that follows it.
+    agent: RefCell<Option<(SocketAddr, AbortHandle)>>,
     clients: RefCell<HashMap<CommandId, Owed>>,
     plugin: Option<Plugin>,
     unsent: Rc<Cell<usize>>,
@@ -96,7 +100,8 @@
             core: Core::new(platform.clone(), facade, most_bytes).into(),
             table: NameTable::new(platform.zones.clone()).into(),
             upstream: Upstream::new(&platform, instances),
-            counter: config.counter.map(|addr| Rc::new(Counter::new(addr, platform.count_wait_ms))),
+            counter: Counter::new(config.counter, platform.count_wait_ms),
+            agent: RefCell::default(),
             clients: RefCell::default(),
             pumping: Cell::new(false),
             // Without discovery, what is known is all there is.
@@ -197,6 +202,39 @@
         Ok(())
     }
 
+    /// Follows the name table at this agent from now on; the list held stays until the agent tells another.
+    fn follow(self: &Rc<Self>, agent: Option<SocketAddr>) {
+        if self.agent.borrow().as_ref().map(|(addr, _)| *addr) == agent {
+            return;
+        }
+        let task = agent.map(|addr| (addr, spawn_local(follow(self.clone(), addr)).abort_handle()));
+        if let Some((_, old)) = self.agent.replace(task) {
+            old.abort();
+        }
+    }
+
+    /// Reads the configuration again. Discovery and counter move to what it says; commands and calls under way
+    /// are not touched by it. What else has changed there is named, since it takes effect at a restart only.
+    fn reload(self: &Rc<Self>, path: &Path, held: &mut Config) {
+        let mut config = match Config::read(path) {
+            Ok(config) => config,
+            Err(e) => return log::error!("EDGE_CONFIG: {e}; the old configuration stays"),
+        };
+        self.follow(config.discovery);
+        self.counter.move_to(self, config.counter);
+        let fixed = held.fixed_but_changed(&config);
+        if !fixed.is_empty() {
+            log::warn!("configuration: {} changed, which takes a restart", fixed.join(", "));
+        }
+        log::info!(
+            "configuration read again: discovery {:?}, counter {:?}",
+            config.discovery,
+            config.counter
+        );
+        config.known = serde_json::Value::Null;
+        *held = config;
+    }
+
     fn pump(&self) {
         let Some(me) = self.me.upgrade() else { return };
         if self.pumping.replace(true) {
@@ -215,13 +253,7 @@
                 Some(Effect::Abandon(id, attempt)) => self.upstream.abandon(id, attempt),
                 Some(Effect::Probe(instance)) => self.upstream.probe(&me, instance),
                 Some(Effect::Release(instance)) => self.upstream.release(instance),
-                Some(Effect::Count(add)) => match &self.counter {
-                    Some(counter) => counter.add(&me, add),
-                    None => {
-                        let mut core = self.core.borrow_mut();
-                        core.counted(self.clock.now(), add.name, Outcome::ConnectFailed, 0.0);
-                    }
-                },
+                Some(Effect::Count(add)) => self.counter.add(&me, add),
                 None => break,
             }
         }
@@ -234,14 +266,12 @@
         loop {
             let now = self.now();
             let core = self.core.borrow_mut().next_due();
-            let counter = self.counter.as_ref().and_then(|c| c.next_due());
+            let counter = self.counter.next_due();
             let due = core.into_iter().chain(counter).fold(now + LOOK_MS, f64::min);
             tokio::time::sleep_until(self.clock.instant(due).into()).await;
             self.with_core(|core, now| core.tick(now));
             let now = self.now();
-            if let Some(counter) = &self.counter {
-                counter.expire(&self, now);
-            }
+            self.counter.expire(&self, now);
             if now - swept > 1000.0 {
                 swept = now;
                 self.upstream.sweep(now);
@@ -259,13 +289,56 @@
     }
 }
 
-/// Serves until SIGTERM or SIGINT, then drains.
+/// The signals that the program answers to.
+pub struct Signals {
+    term: Signal,
+    int: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    /// Listens for them. To be called before anything else: a signal that nobody listens for ends the program.
+    ///
+    /// # Errors
+    /// The system refuses.
+    pub fn listen() -> std::io::Result<Signals> {
+        let [term, int, hang_up] =
+            [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()].map(signal);
+        Ok(Signals { term: term?, int: int?, hang_up: hang_up? })
+    }
+}
+
+/// Reads again, at each SIGHUP and until the program ends, what an operator may change while it runs.
+async fn hear(
+    hub: Rc<Hub>,
+    mut hang_up: Signal,
+    path: PathBuf,
+    mut held: Config,
+    inventory: Option<Inventory>,
+) {
+    let mut inventory = inventory;
+    while hang_up.recv().await.is_some() {
+        hub.reload(&path, &mut held);
+        if let Some(inventory) = &mut inventory {
+            match hub.load(inventory) {
+                Ok(()) => log::info!("inventory read again"),
+                Err(e) => log::error!("{e}; the old list stays"),
+            }
+        }
+    }
+}
+
+/// Serves until SIGTERM or SIGINT, then drains. `path` is where the configuration came from.
 ///
 /// # Errors
 /// What keeps it from starting.
-pub async fn run(config: Config, operator: Operator) -> Result<(), StartError> {
-    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let mut hang_up = signal(SignalKind::hangup())?;
+pub async fn run(
+    signals: Signals,
+    path: PathBuf,
+    mut config: Config,
+    operator: Operator,
+) -> Result<(), StartError> {
+    let Signals { mut term, mut int, hang_up } = signals;
     let plugin = operator.plugin.as_ref().map(|p| Plugin::load(p, &operator.folder)).transpose()?;
     let hub = Hub::new(&config, plugin, Clock::system())?;
     if !config.known.is_null() {
@@ -282,9 +355,7 @@
         None => None,
     };
     spawn_local(hub.clone().keep_time());
-    if let Some(agent) = config.discovery {
-        spawn_local(follow(hub.clone(), agent));
-    }
+    hub.follow(config.discovery);
     let streams = operator.http2.as_ref().map_or(0, |http2| http2.connections);
     let clients = (config.sockets.saturating_sub(OTHERS) * 3 / 5).saturating_sub(streams).max(16);
     let front = RespFront::new(hub.clone(), clients);
@@ -294,24 +365,17 @@
         accepting.push(spawn_local(front.clone().listen(listener)));
         front
     });
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = int.recv() => break,
-            _ = hang_up.recv() => match &mut inventory {
-                Some(inventory) => match hub.load(inventory) {
-                    Ok(()) => log::info!("inventory read again"),
-                    Err(e) => log::error!("{e}; the old list stays"),
-                },
-                None => log::info!("SIGHUP: no inventory to read"),
-            },
-        }
+    config.known = serde_json::Value::Null;
+    spawn_local(hear(hub.clone(), hang_up, path, config, inventory));
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
     }
     drain(&hub, &front, second.as_ref(), accepting).await;
     Ok(())
 }
 
-async fn bind(addr: std::net::SocketAddr) -> Result<TcpListener, StartError> {
+async fn bind(addr: SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(addr).await.map_err(|e| StartError::Listen(addr, e))
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,10 +1,11 @@
 //! The one parser of the settings object: the simulator's first message and the platform's `EDGE_CONFIG`
 //! carry the same one. It owns the names and units of that object and the messages on what is wrong with
-//! it. It must never decide anything, fill in what is required, or read a file or a socket.
+//! it. It must never decide anything, fill in what is required, or read anything but the file it is given.
 
 use crate::api::{Class, Effect, Field, Group, Plan, Settings};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::Path;
 
 /// Settings that cannot be used; the text names the field.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -149,7 +150,7 @@
 }
 
 /// What an ingress on sockets needs of the settings beside the module's part. Times in milliseconds.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Platform {
     /// The module's part.
     pub module: Settings,
@@ -234,6 +235,25 @@
 }
 
 impl Config {
+    /// The configuration from its file.
+    ///
+    /// # Errors
+    /// It cannot be read, or a field is missing or makes no sense.
+    pub fn read(path: &Path) -> Res<Config> {
+        let text = std::fs::read_to_string(path);
+        Config::parse(&text.map_err(|e| ConfigError(format!("{}: {e}", path.display())))?)
+    }
+
+    /// The keys in which `new` differs although a running program cannot follow them.
+    pub fn fixed_but_changed(&self, new: &Config) -> Vec<&'static str> {
+        let changed = [
+            ("listen", self.listen != new.listen),
+            ("limits", (self.sockets, self.memory_mb) != (new.sockets, new.memory_mb)),
+            ("settings", self.platform != new.platform),
+        ];
+        changed.iter().filter(|(_, changed)| *changed).map(|(key, _)| *key).collect()
+    }
+
     /// The configuration from its JSON text.
     ///
     /// # Errors
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -352,3 +352,63 @@
          expect c k1 413",
     );
 }
+
+#[test]
+fn a_new_configuration_moves_discovery_and_counter_and_a_quota_counts_on() {
+    // The old places are closed behind the move. A store of 14 units, 2 for each command: one is drawn before
+    // the move, the others where the counter is then.
+    let flood: String =
+        (0..12).map(|i| format!("send c k{i} fetch-episode district 9\nexpect c k{i}\n")).collect();
+    play_all(&format!(
+        "send d k book-rebroadcast district 9
+         expect * k
+         move discovery counter
+         state a left
+         wait 100
+         answer * k value booked
+         expect d k served booked
+         always value news
+         {flood}counted 14
+         state b left
+         wait 100
+         send c k12 fetch-episode national 8
+         expect c k12 busy"
+    ));
+}
+
+#[test]
+fn a_new_configuration_is_followed_during_a_stop() {
+    play_all(
+        "send c k1 book-rebroadcast city 7
+         expect * k1
+         stop
+         move discovery counter
+         state a left
+         wait 100
+         send d k2 fetch-episode national 8
+         answer b k2 value news
+         expect d k2 served news
+         answer * k1 value booked
+         expect c k1 served booked
+         expect exit",
+    );
+}
+
+#[test]
+fn a_wrong_configuration_keeps_the_old_one() {
+    play(
+        Wire::Resp,
+        Wire::Resp,
+        r#"always value news
+         config {"listen": "127.0.0.1:1", "discovery": "here"}
+         wait 50
+         state a left
+         wait 50
+         send c k1 fetch-episode city 7
+         expect c k1 served news
+         state b left
+         wait 50
+         send c k2 fetch-episode city 7
+         expect c k2 busy"#,
+    );
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -15,6 +15,8 @@
 //!     unseen                               instances send GOAWAY below every stream (HTTP/2)
 //!     counter HOW                          it is silent, full, late, or answers garbage, close, ok
 //!     agent HOW                            discovery answers garbage, error, nonsense, ok
+//!     move PARTS                           discovery, counter: are elsewhere from now on, as the configuration (SIGHUP) says
+//!     config TEXT                          the configuration file holds this, and is read again (SIGHUP)
 //!     stop / expect exit                   SIGTERM / the program ends with status 0
 //!     wait MS                              time passes
 //!     runs K N                             N attempts for K have arrived in all
@@ -34,7 +36,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, AbortHandle};
 
 /// The wire that a side speaks.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -271,16 +273,19 @@
     }
 }
 
-/// Listens and serves each connection by `serve`; the port.
-async fn stand_in<F: Future<Output = ()> + 'static>(serve: impl Fn(TcpStream) -> F + 'static) -> u16 {
+/// Listens and serves each connection by `serve`; the port, and the task that holds it all.
+async fn stand_in<F: Future<Output = ()> + 'static>(
+    serve: impl Fn(TcpStream) -> F + 'static,
+) -> (u16, AbortHandle) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let port = listener.local_addr().unwrap().port();
-    spawn_local(async move {
+    let task = spawn_local(async move {
+        let mut connections = tokio::task::JoinSet::new();
         while let Ok((stream, _)) = listener.accept().await {
-            spawn_local(serve(stream));
+            connections.spawn_local(serve(stream));
         }
     });
-    port
+    (port, task.abort_handle())
 }
 
 enum Client {
@@ -298,6 +303,8 @@
     clients: HashMap<String, Client>,
     shared: Shared,
     list: watch::Sender<Vec<String>>,
+    /// Discovery and counter: where they are.
+    parties: HashMap<&'static str, (u16, AbortHandle)>,
     instances: HashMap<String, (u16, Wire)>,
     answers: Vec<String>,
     folder: PathBuf,
@@ -328,43 +335,64 @@
                 Wire::Resp => stand_in(move |s| resp_instance(name.into(), s, shared.clone())).await,
                 Wire::Http2 => stand_in(move |s| http2_instance(name.into(), s, shared.clone())).await,
             };
-            instances.insert(name.to_string(), (port, wire));
+            instances.insert(name.to_string(), (port.0, wire));
         }
         let listed = instances.iter().filter(|(name, _)| *name != "extra");
         let entries: Vec<_> = listed.map(|(n, (p, w))| entry(n, *p, *w, "active")).collect();
-        let (list, watched) = watch::channel(vec![entries.join(",")]);
-        let tallies = shared.clone();
-        let counter = stand_in(move |s| counter(s, tallies.clone())).await;
-        let agents = shared.clone();
-        let discovery = stand_in(move |s| agent(s, watched.clone(), agents.clone())).await;
+        let (list, _) = watch::channel(vec![entries.join(",")]);
         let (host, listen, second) = (own_address(), 6379, 8080);
         let folder = std::env::temp_dir().join(format!("driftgap-stage-{}-{host}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let (config, operator) = (folder.join("config.json"), folder.join("operator.toml"));
-        let text = format!(
-            r#"{{"name":"n0","listen":"{host}:{listen}","discovery":"127.0.0.1:{discovery}",
-                "counter":"127.0.0.1:{counter}","seed":"1f","limits":{{"sockets":256}},"settings":{SETTINGS}}}"#
-        );
-        std::fs::write(&config, text).unwrap();
         let sections = format!("[http2]\nlisten = \"{host}:{second}\"\n{OPERATOR}");
         std::fs::write(&operator, sections).unwrap();
         std::fs::write(folder.join("hook.rhai"), HOOK).unwrap();
         std::fs::write(folder.join("inventory.csv"), HEADER).unwrap();
-        let program = Command::new(env!("CARGO_BIN_EXE_driftgap"))
+        let ports =
+            [("resp", listen), ("http2", second)].map(|(wire, port)| (wire, format!("{host}:{port}"))).into();
+        let (clients, parties, answers) = Default::default();
+        // Replaced by the program once everything that it needs is there.
+        let program = Command::new("true").spawn().unwrap();
+        let mut stage =
+            Stage { program, front, ports, clients, shared, list, parties, instances, answers, folder };
+        stage.relocate(&["discovery", "counter"]).await;
+        stage.program = Command::new(env!("CARGO_BIN_EXE_driftgap"))
             .env("EDGE_CONFIG", &config)
             .env("DRIFTGAP_OPERATOR", &operator)
             .stdout(Stdio::null())
             .spawn()
             .unwrap();
-        let ports =
-            [("resp", listen), ("http2", second)].map(|(wire, port)| (wire, format!("{host}:{port}"))).into();
-        let clients = HashMap::new();
-        let mut stage =
-            Stage { program, front, ports, clients, shared, list, instances, answers: Vec::new(), folder };
         stage.ready().await;
         stage
     }
 
+    /// Puts these parties at new ports and says so in the configuration; what they held stays theirs.
+    async fn relocate(&mut self, parties: &[&str]) -> Vec<AbortHandle> {
+        let mut old = Vec::new();
+        for party in parties {
+            let shared = self.shared.clone();
+            let (name, new) = match *party {
+                "counter" => ("counter", stand_in(move |s| counter(s, shared.clone())).await),
+                "discovery" => {
+                    let list = self.list.clone();
+                    ("discovery", stand_in(move |s| agent(s, list.subscribe(), shared.clone())).await)
+                }
+                other => panic!("no such party: {other}"),
+            };
+            old.extend(self.parties.insert(name, new).map(|(_, task)| task));
+        }
+        let at = |party: &str| self.parties[party].0;
+        let text = format!(
+            r#"{{"name":"n0","listen":"{}","discovery":"127.0.0.1:{}","counter":"127.0.0.1:{}",
+                "seed":"1f","limits":{{"sockets":256}},"settings":{SETTINGS}}}"#,
+            self.ports["resp"],
+            at("discovery"),
+            at("counter")
+        );
+        std::fs::write(self.folder.join("config.json"), text).unwrap();
+        old
+    }
+
     /// Waits until the program says that it can serve.
     async fn ready(&mut self) {
         for _ in 0..400 {
@@ -565,6 +593,16 @@
                 std::fs::write(self.folder.join("inventory.csv"), format!("{HEADER}{rows}")).unwrap();
                 self.signal("-HUP");
             }
+            ["move", parties @ ..] => {
+                let old = self.relocate(parties).await;
+                self.signal("-HUP");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                old.iter().for_each(AbortHandle::abort);
+            }
+            ["config", text @ ..] => {
+                std::fs::write(self.folder.join("config.json"), text.join(" ")).unwrap();
+                self.signal("-HUP");
+            }
             ["unseen"] => *self.shared.unseen.borrow_mut() = true,
             ["counter", how] => *self.shared.counter.borrow_mut() = how.to_string(),
             ["agent", how] => *self.shared.agent.borrow_mut() = how.to_string(),
