A jam no longer leaves hosts out: lateness alone is no fault, and most are never left out

A probe that logged each host's marks showed 6 of 9 listed hosts left out for 2 or 3 classes and plans, 79 of 131 blames as "Timeout" 0.28 or 0.55 s after the send, that is, from `watch` and not from an answer. At fault: balance.rs `watch` -> `blame`, which left a host out for a class for 20 s after one late attempt. Under load that takes away hosts, so that the others are late next. Now: lateness counts only against a host that answers nobody; a real time-out or a full answer leaves it out for 2 s, then twice as long; with more than half of the hosts left out for a kind none is.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,7 +4,7 @@
 //! `docs/design.md` tells what comes from the paper and what departs from it.
 
 use crate::api::*;
-use crate::state::{lot, Attempt, Customer, Host, Kind, Memory, Open, Peers};
+use crate::state::{lot, Attempt, Avoid, Customer, Host, Kind, Memory, Open, Peers};
 
 /// Housekeeping period, s: short beside any aim, long beside the cost of one pass.
 const TICK: f64 = 0.05;
@@ -62,7 +62,8 @@
 
 /// Weight of the last second in the rate of attempts at a warm host, by which a cold one's part is set.
 const WARM: f64 = 0.2;
-/// Health: failures in a row that eject; first and longest ejection, s; most hosts ejected, as a share.
+/// Health: failures in a row that eject; first and longest ejection, s; most hosts ejected, as a
+/// share, or left out for a class or plan: what most of them fail alike is load, and would only grow.
 const FAILS: u32 = 3;
 const EJECT: (f64, f64) = (1.0, 8.0);
 const EJECT_SHARE: f64 = 0.5;
@@ -70,8 +71,9 @@
 const STUCK: f64 = 2.5;
 /// Unless so many are: weight of one attempt in their share, and the share that means load, not hung hosts.
 const SLOW: (f64, f64) = (0.08, 0.25);
-/// A host that failed a class, or turned a plan away, is left out for it this long, s.
-const AVOID: f64 = 20.0;
+/// A host that failed a class, or turned a plan away, is left out for it this long, s: at most, as after an
+/// error, and at first where load may have been the cause.
+const AVOID: (f64, f64) = (20.0, 2.0);
 /// Latency memory: weight of a sample; most that one sample counts, in typical latencies.
 const LEARN: f64 = 0.1;
 /// Latency before any is known, as a share of the aim.
@@ -532,9 +534,10 @@
     // ---- Choice ----
 
     fn choose(&mut self, now: f64, kind: Kind, tried: &[HostId], group: Option<Peers>) -> Option<HostId> {
-        let (class, plan) = kind;
         let ready = self.m.hosts.values().filter(|h| h.ready).count();
         let ejected = self.m.hosts.values().filter(|h| h.ready && h.ejected.is_some()).count();
+        let left_out = self.m.hosts.values().filter(|h| h.ready && h.left_out(now, kind)).count();
+        let load = left_out as f64 > EJECT_SHARE * ready as f64;
         let mut best: Option<(f64, HostId)> = None;
         for round in 0..2 {
             for (&id, h) in &self.m.hosts {
@@ -550,8 +553,7 @@
                 if h.ejected.is_some() && (round == 0 || ejected < ready) {
                     continue;
                 }
-                let avoid = h.avoid.iter().any(|a| now < a.1 && (a.0 == Err(class) || a.0 == Ok(plan)));
-                if (avoid || h.trial && h.out > 0) && round == 0 {
+                if (!load && h.left_out(now, kind) || h.trial && h.out > 0) && round == 0 {
                     continue;
                 }
                 let mut score =
@@ -701,7 +703,7 @@
                 h.ratio += 0.2 * (sample - h.ratio);
                 h.ratio_at = now;
                 (h.fails, h.ejected, h.last_answer) = (0, None, now);
-                h.avoid.retain(|m| now < m.1 && m.0 != Err(class) && m.0 != Ok(plan));
+                h.avoid.retain(|m| m.what != Err(class) && m.what != Ok(plan));
                 if h.trial {
                     h.trial = false;
                 } else {
@@ -712,8 +714,17 @@
                 }
             }
             Outcome::Cancelled | Outcome::Moot => return,
-            _ if a.suspect => {}
-            _ => self.blame(now, a.host, (o, a.sent), (class, plan)),
+            _ => {
+                match o {
+                    Outcome::Full => h.leave_out(now, Ok(plan), AVOID.1),
+                    Outcome::Timeout => h.leave_out(now, Err(class), AVOID.1),
+                    Outcome::Error => h.leave_out(now, Err(class), AVOID.0),
+                    _ => {}
+                }
+                if !a.suspect {
+                    self.blame(now, a.host, (o, a.sent));
+                }
+            }
         }
         if o == Outcome::Ok {
             self.m.aims += self.set.classes[class].aim / self.m.pace;
@@ -721,18 +732,11 @@
         }
     }
 
-    /// A failure at a host. It may fail one class, or turn one plan away with room for others: it is left
-    /// out for these alone, after one failure, as a gateway among many meets few; after some in a row it is
-    /// ejected. Harm: the rest of the fleet carries more.
-    fn blame(&mut self, now: f64, host: HostId, (o, sent): (Outcome, f64), (class, plan): Kind) {
+    /// A failure at a host; after some in a row it is ejected. Lateness counts only while the host answers
+    /// nobody: else it may just be busy, and to leave it out would overload the others. Harm: the rest of the
+    /// fleet carries more.
+    fn blame(&mut self, now: f64, host: HostId, (o, sent): (Outcome, f64)) {
         let Some(h) = self.m.hosts.get_mut(&host) else { return };
-        h.avoid.retain(|m| now < m.1);
-        match o {
-            Outcome::Full => h.avoid.push((Ok(plan), now + AVOID)),
-            Outcome::Error | Outcome::Timeout => h.avoid.push((Err(class), now + AVOID)),
-            _ => {}
-        }
-        // Lateness alone does not count while the host answers others: it may just be busy.
         h.fails += u32::from(o != Outcome::Full && (o != Outcome::Timeout || h.last_answer < sent));
         if matches!(o, Outcome::Full | Outcome::Error) {
             h.last_answer = now;
@@ -801,7 +805,7 @@
                 let late = now - a.sent > COPY_AT * class.aim;
                 if late && !a.suspect {
                     a.suspect = true;
-                    suspects.push((a.host, a.sent, kind));
+                    suspects.push((a.host, a.sent));
                 }
                 all &= lost || late && self.m.level == 0 && tries < 2;
             }
@@ -809,8 +813,8 @@
                 due.push(id);
             }
         }
-        for (host, sent, kind) in suspects {
-            self.blame(now, host, (Outcome::Timeout, sent), kind);
+        for (host, sent) in suspects {
+            self.blame(now, host, (Outcome::Timeout, sent));
         }
         for id in due {
             self.again(now, id, actions);
@@ -885,6 +889,25 @@
         (self.trial, self.fails) = (false, 0);
     }
 
+    /// It failed one class, or turned one plan away with room for others: it is left out for these alone,
+    /// after one failure, as a gateway among many meets few, and for twice as long each time.
+    fn leave_out(&mut self, now: f64, what: Result<usize, usize>, first: f64) {
+        self.avoid.retain(|m| now < m.until + AVOID.0);
+        let at = self.avoid.iter().position(|m| m.what == what);
+        let old = at.map(|at| self.avoid.swap_remove(at));
+        // What was sent before the host was left out says nothing new.
+        let (until, spell) = match old {
+            Some(m) if now < m.until => (m.until.max(now + first), m.spell),
+            Some(m) => (now + (2.0 * m.spell).min(AVOID.0), (2.0 * m.spell).min(AVOID.0)),
+            None => (now + first, first),
+        };
+        self.avoid.push(Avoid { what, until, spell });
+    }
+
+    fn left_out(&self, now: f64, (class, plan): Kind) -> bool {
+        self.avoid.iter().any(|m| now < m.until && (m.what == Err(class) || m.what == Ok(plan)))
+    }
+
     /// Expected wait for one more attempt, in typical latencies of the fleet. Work of its own does not count
     /// against a cold host, or gateways with nothing out would leave it cold; the budget bounds what it gets.
     fn wait(&self, now: f64, warmth: f64) -> f64 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -26,13 +26,20 @@
     pub(crate) strikes: i32,
     pub(crate) ejected: Option<f64>,
     pub(crate) trial: bool,
-    /// Classes (`Err`) and plans (`Ok`) that the host does not serve, and until when that is believed.
-    pub(crate) avoid: Vec<(Result<usize, usize>, f64)>,
+    pub(crate) avoid: Vec<Avoid>,
     pub(crate) waiting: Option<(f64, f64)>,
     /// When attempts were sent while it was cold.
     pub(crate) cold_sent: VecDeque<f64>,
 }
 
+/// A class (`Err`) or a plan (`Ok`) that a host does not serve.
+pub(crate) struct Avoid {
+    pub(crate) what: Result<usize, usize>,
+    /// Until when that is believed, and how long it was believed the last time.
+    pub(crate) until: f64,
+    pub(crate) spell: f64,
+}
+
 #[derive(Clone)]
 pub(crate) struct Attempt {
     pub(crate) host: HostId,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -94,6 +94,16 @@
         id
     }
 
+    /// Requests that stay open, one after the other, and where each was sent.
+    pub fn ask_all(&mut self, class: usize, n: usize) -> Vec<(RequestId, HostId)> {
+        let mut sent = Vec::new();
+        for _ in 0..n {
+            let id = self.ask(class, 0, 1, 1.0);
+            sent.extend(self.sent(id).into_iter().map(|host| (id, host)));
+        }
+        sent
+    }
+
     /// Requests that the last event sent attempts of.
     pub fn sends(&self) -> Vec<RequestId> {
         let to = |a: &Action| match a {
