Check every field of a command before the decision; end silent and half-sent clients in time

At fault: core.rs `Command::new` took up to 1e6 units, `inf`, 65535 ingresses and terms without a value; resp.rs waited for ever for a silent or half-sent client and closed the longest idle connection first, which is a usual client's; 512 commands of one client were carried out in one go, and a client with a full line of them was not read on (`fill` woke nobody). Now: strict decimals, units up to the settings' most_units, sets within the settings' ingresses, 16 digits below 2^33, readable ids and terms, bodies only where the grammar has them. A command has 2.5 s to come whole. At the bound of connections those that never spoke go first. 16 commands, then others' turn; no parse before the bytes that it lacks have come. A connection that is told to leave is read once more before it closes. Ruled out: a second copy by a copied id (nothing is keyed by clients' ids).

--- a/examples/toy_instance.rs
+++ b/examples/toy_instance.rs
@@ -25,7 +25,7 @@
                 };
                 Some((reply, n))
             }
-            Ok(Parsed::More) => None,
+            Ok(Parsed::More(_)) => None,
             Err(_) => return stream.write_all(b"-ERR malformed\r\n"),
         };
         if let Some((reply, n)) = reply {
--- a/src/core.rs
+++ b/src/core.rs
@@ -43,6 +43,21 @@
     Plan,
 }
 
+/// Longest id and longest list of names and values.
+const MOST_ID: usize = 128;
+const MOST_TERMS: usize = 1024;
+/// Customers are numbers below this.
+const CUSTOMERS: u64 = 1 << 33;
+/// Longest wait that a client may name.
+const MOST_PATIENCE_MS: f64 = 3.6e6;
+
+/// A number as the platform writes it: digits, at most one point. What else Rust reads as a number (`inf`,
+/// `1e9`, `+2`) is none to an instance.
+fn decimal(text: &str) -> Option<f64> {
+    let plain = text.len() <= 32 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    text.parse().ok().filter(|_| plain && text.starts_with(|c: char| c.is_ascii_digit()))
+}
+
 /// The names and values of `a=1,b=2`.
 pub fn pairs(terms: &str) -> impl Iterator<Item = (&str, &str)> {
     terms.split(',').filter_map(|term| term.split_once('='))
@@ -60,30 +75,62 @@
         terms: String,
         body: Option<Vec<u8>>,
     ) -> Result<Command, BadCommand> {
-        let find = |name: &str| pairs(&terms).find(|(n, _)| *n == name).map(|(_, v)| v);
-        let number = |name: &'static str, range: std::ops::RangeInclusive<f64>| {
-            let value = find(name).and_then(|v| v.parse::<f64>().ok());
-            value.filter(|v| range.contains(v)).ok_or(BadCommand::Term(name))
-        };
-        let known = customer.len() <= 16 && customer.bytes().all(|b| b.is_ascii_hexdigit());
-        let customer_id = u64::from_str_radix(customer, 16).ok().filter(|_| known);
-        if id.is_empty() || id.len() > 128 || !id.bytes().all(|b| b.is_ascii_graphic()) {
+        let settings = &platform.module;
+        // Guards instances, which close on what they cannot read, whatever else waits on the connection: only
+        // what is readable throughout goes on.
+        let readable = |text: &str, most| text.len() <= most && text.bytes().all(|b| b.is_ascii_graphic());
+        if !readable(&terms, MOST_TERMS) || terms.split(',').any(|term| !term.contains('=')) {
+            return Err(BadCommand::Term("terms"));
+        }
+        if id.is_empty() || !readable(id, MOST_ID) {
             return Err(BadCommand::Term("id"));
         }
+        let find = |name: &str| pairs(&terms).find(|(n, _)| *n == name).map(|(_, v)| v);
+        let number = |name: &'static str, most: f64| {
+            find(name).and_then(decimal).filter(|v| *v <= most).ok_or(BadCommand::Term(name))
+        };
+        let whole = |name, least: f64, most| {
+            let value = number(name, most)?;
+            if value >= least && value.fract() == 0.0 {
+                Ok(value as u32)
+            } else {
+                Err(BadCommand::Term(name))
+            }
+        };
+        let digits = customer.len() == 16 && customer.bytes().all(|b| b.is_ascii_hexdigit());
+        let customer_id = u64::from_str_radix(customer, 16).ok().filter(|id| digits && *id < CUSTOMERS);
         let class = find("c").and_then(|c| platform.classes.iter().position(|n| n == c));
         let plan = find("t").and_then(|t| platform.plans.iter().position(|n| n == t));
         let ask = Ask {
             class: class.ok_or(BadCommand::Class)?,
             plan: plan.ok_or(BadCommand::Plan)?,
             customer: customer_id.ok_or(BadCommand::Term("customer"))?,
-            units: number("units", 0.0..=1e6)?,
-            spread: number("spread", 1.0..=65_535.0)? as u32,
-            first: number("first", 0.0..=65_535.0)? as u32,
-            repeat: find("r") == Some("1"),
+            // Guards quotas: one command with a million units in a partner's name would use up all it has.
+            units: number("units", settings.most_units).and_then(|u| {
+                if u > 0.0 {
+                    Ok(u)
+                } else {
+                    Err(BadCommand::Term("units"))
+                }
+            })?,
+            spread: whole("spread", 1.0, f64::from(settings.gateways))?,
+            first: whole("first", 0.0, f64::from(settings.gateways) - 1.0)?,
+            repeat: match find("r") {
+                None | Some("0") => false,
+                Some("1") => true,
+                Some(_) => return Err(BadCommand::Term("r")),
+            },
+        };
+        let patience_ms = number("d", MOST_PATIENCE_MS)?;
+        // Guards the instances' grammar: a query never has a body, whatever else never lacks one.
+        let safe = settings.classes[ask.class].effect == crate::api::Effect::Safe;
+        let body = match (safe, body) {
+            (true, Some(body)) if !body.is_empty() => return Err(BadCommand::Term("body")),
+            (true, _) => None,
+            (false, body) => Some(body.unwrap_or_default()),
         };
-        let patience_ms = number("d", 0.0..=3.6e6)?;
         // Guards the quota: an instance must not read other units or another class than this ingress did.
-        for name in ["c", "t", "d", "units", "spread", "first"] {
+        for name in ["c", "t", "d", "r", "units", "spread", "first"] {
             if pairs(&terms).filter(|(n, _)| *n == name).count() > 1 {
                 return Err(BadCommand::Term("terms"));
             }
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -297,7 +297,7 @@
                 input.consume(n);
                 answer
             }
-            Ok(Parsed::More) => return true,
+            Ok(Parsed::More(_)) => return true,
             Err(_) => return false,
         };
         let Some(call) = lane.borrow_mut().written.pop_front() else { return false };
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -9,9 +9,11 @@
 use crate::ring::Ring;
 use crate::wire::{command_words, platform_command, Parsed, MOST_VALUE};
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -22,10 +24,18 @@
 const MOST_INPUT: usize = MOST_VALUE + 16 * 1024;
 /// Answers that a client does not read.
 const MOST_OUTPUT: usize = 1024 * 1024;
-/// A client that is in the middle of a command or an answer for this long is stuck, ms.
+/// A client that has not read an answer for this long is stuck, ms.
 const STALE_MS: f64 = 10_000.0;
+/// From connecting, or from its first byte, a command has this long to come whole, ms.
+const WHOLE_MS: f64 = 2500.0;
+/// A client that has said nothing yet may have its first command under way for this long, ms.
+const FRESH_MS: f64 = 500.0;
+/// Clients are looked through this often.
+const LOOK: Duration = Duration::from_millis(200);
+/// Commands taken from one client before others have their turn.
+const AT_ONCE: usize = 16;
 /// Unanswered commands on one connection; more are left unread.
-const MOST_PIPELINED: usize = 512;
+const MOST_PIPELINED: usize = 128;
 
 /// One command's place in the order of answers.
 enum Slot {
@@ -45,8 +55,14 @@
     broken: Cell<bool>,
     /// Asked to end as soon as nothing is owed.
     leaving: Cell<bool>,
-    /// Bytes of a command that is not whole yet.
-    partial: Cell<bool>,
+    /// Since when a command is awaited or coming that is not whole yet; none: whole ones have come and no
+    /// further one has begun.
+    coming: Cell<Option<f64>>,
+    /// Has sent a whole command; has sent a part of the next.
+    spoken: Cell<bool>,
+    begun: Cell<bool>,
+    /// Its time for a command is over.
+    expired: Cell<bool>,
     used: Cell<f64>,
 }
 
@@ -69,7 +85,7 @@
         loop {
             // With every place taken by somebody who is owed an answer, others wait in the listener's line.
             while self.connections() >= self.budget && !self.shed() {
-                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+                tokio::time::sleep(Duration::from_millis(5)).await;
             }
             match listener.accept().await {
                 Ok((stream, _)) => self.open(stream),
@@ -77,7 +93,7 @@
                 Err(e) => {
                     log::warn!("accept: {e}");
                     self.shed();
-                    tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+                    tokio::time::sleep(Duration::from_millis(5)).await;
                 }
             }
         }
@@ -96,7 +112,10 @@
             wake: Notify::new(),
             broken: Cell::new(false),
             leaving: Cell::new(false),
-            partial: Cell::new(false),
+            coming: Cell::new(Some(self.hub.now())),
+            spoken: Cell::new(false),
+            begun: Cell::new(false),
+            expired: Cell::new(false),
             used: Cell::new(self.hub.now()),
         });
         let number = self.next.get();
@@ -113,23 +132,38 @@
         });
     }
 
-    /// Closes the connection that has been idle for longest; false: none is idle.
-    fn shed(&self) -> bool {
-        let clients = self.clients.borrow();
-        // Guards against clients that take a place and neither finish a command nor read an answer.
-        let old = self.hub.now() - STALE_MS;
-        for client in clients.values().filter_map(Weak::upgrade).filter(|c| c.used.get() < old && !c.idle()) {
-            if client.slots.borrow().is_empty() {
-                client.broken.set(true);
-                client.wake.notify_one();
+    /// Looks after clients that take a place and neither finish a command nor read an answer.
+    pub async fn look(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            let now = self.hub.now();
+            for client in self.clients.borrow().values().filter_map(Weak::upgrade) {
+                let owed = !client.slots.borrow().is_empty();
+                if !owed && client.coming.get().is_some_and(|since| now - since > WHOLE_MS) {
+                    client.expired.set(true);
+                    client.wake.notify_one();
+                } else if !owed && !client.output.borrow().is_empty() && now - client.used.get() > STALE_MS {
+                    client.broken.set(true);
+                    client.wake.notify_one();
+                }
             }
         }
+    }
+
+    /// Closes a connection that nothing is owed on; false: there is none. Those that have never said anything
+    /// go before those that serve, the longest idle first; but not while a first command may be under way.
+    fn shed(&self) -> bool {
+        let (clients, now) = (self.clients.borrow(), self.hub.now());
         let idle = clients.values().filter_map(Weak::upgrade).filter(|c| c.idle() && !c.leaving.get());
-        if let Some(client) = idle.min_by(|a, b| a.used.get().total_cmp(&b.used.get())) {
-            client.leave();
-            return true;
+        let idle = idle.filter(|c| c.spoken.get() || now - c.used.get() > FRESH_MS);
+        let order = |c: &Rc<Client>| (c.spoken.get(), c.used.get());
+        match idle.min_by(|a, b| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal)) {
+            Some(client) => {
+                client.leave();
+                true
+            }
+            None => false,
         }
-        false
     }
 
     /// Ends every connection as soon as nothing is owed on it.
@@ -146,7 +180,8 @@
 
 impl Client {
     fn idle(&self) -> bool {
-        self.slots.borrow().is_empty() && !self.partial.get() && self.output.borrow().is_empty()
+        let between = self.coming.get().is_none() || !self.spoken.get() && !self.begun.get();
+        between && self.slots.borrow().is_empty() && self.output.borrow().is_empty()
     }
 
     fn leave(&self) {
@@ -159,6 +194,15 @@
         self.slots.borrow().iter().filter_map(open).collect()
     }
 
+    /// Notes further bytes of what may become a command.
+    fn came(&self, input: &mut Ring, n: usize) {
+        input.filled(n);
+        self.begun.set(true);
+        if self.coming.get().is_none() {
+            self.coming.set(Some(self.hub.now()));
+        }
+    }
+
     /// Opens a place for an answer; its ticket.
     fn ticket(&self) -> u64 {
         let mut slots = self.slots.borrow_mut();
@@ -168,6 +212,7 @@
 
     /// Fills a place and writes what is due in turn.
     fn fill(&self, ticket: u64, bytes: Vec<u8>) {
+        let full = self.slots.borrow().len() >= MOST_PIPELINED;
         {
             let mut slots = self.slots.borrow_mut();
             let Some(at) = ticket.checked_sub(self.first.get()) else { return };
@@ -185,7 +230,8 @@
             }
         }
         self.flush();
-        if self.broken.get() || self.leaving.get() || !self.output.borrow().is_empty() {
+        // A full line of commands is not read on: it is now.
+        if full || self.broken.get() || self.leaving.get() || !self.output.borrow().is_empty() {
             self.wake.notify_one();
         }
     }
@@ -258,26 +304,43 @@
     }
 }
 
-/// Carries out the whole commands that have come; false: the connection is to end.
-fn take_in(client: &Rc<Client>, input: &mut Ring) -> bool {
-    while !input.is_empty() && client.slots.borrow().len() < MOST_PIPELINED {
+/// What is left to do after the commands that were taken in.
+enum Next {
+    /// Wait for more bytes, so many at the least.
+    Read(usize),
+    /// There is more to take in, or nothing is read until answers are out.
+    Again,
+    /// The connection is to end.
+    End,
+}
+
+/// Carries out the whole commands that have come, some at a time.
+fn take_in(client: &Rc<Client>, input: &mut Ring) -> Next {
+    for _ in 0..AT_ONCE {
+        if client.slots.borrow().len() >= MOST_PIPELINED {
+            return Next::Again;
+        }
+        if input.is_empty() {
+            return Next::Read(1);
+        }
         let (wanted, n) = match command_words(input.whole()) {
             Ok(Parsed::Whole(words, n)) => (wanted(&client.hub, &words), n),
-            Ok(Parsed::More) => break,
+            Ok(Parsed::More(n)) => return Next::Read(n),
             Err(_) => {
-                let ticket = client.ticket();
-                client.fill(ticket, b"-ERR malformed command\r\n".to_vec());
-                return false;
+                client.fill(client.ticket(), b"-ERR malformed command\r\n".to_vec());
+                return Next::End;
             }
         };
         input.consume(n);
         client.used.set(client.hub.now());
+        client.spoken.set(true);
+        client.coming.set(None);
         let ticket = client.ticket();
         match wanted {
             Wanted::Words(words) => client.fill(ticket, words.to_vec()),
             Wanted::Quit => {
                 client.fill(ticket, b"+OK\r\n".to_vec());
-                return false;
+                return Next::End;
             }
             Wanted::Command(command) => client.hub.arrive(*command, client.clone(), ticket, |id| {
                 let at = (ticket - client.first.get()) as usize;
@@ -287,41 +350,62 @@
             }),
         }
     }
-    true
+    Next::Again
 }
 
 /// One connection, from its first byte to its end.
 async fn serve(client: &Rc<Client>, mut read: OwnedReadHalf) {
     let mut input = Ring::new(MOST_INPUT);
-    let mut going = true;
+    let (mut going, mut least) = (true, 1);
     loop {
-        if going {
-            going = take_in(client, &mut input);
-            client.partial.set(going && !input.is_empty());
+        // Guards against parsing a command from its start for each few bytes of it.
+        if going && input.len() >= least {
+            match take_in(client, &mut input) {
+                Next::Read(more) => least = input.len() + more,
+                Next::Again => least = input.len().min(1),
+                Next::End => going = false,
+            }
+            client.begun.set(false);
+            if going && !input.is_empty() {
+                client.came(&mut input, 0);
+            }
+        }
+        if client.expired.take() && going {
+            going = false;
+            client.fill(client.ticket(), b"-ERR no whole command in time\r\n".to_vec());
         }
         let (owed, unsent) = (client.slots.borrow().len(), !client.output.borrow().is_empty());
-        if client.broken.get()
-            || (owed == 0 && !unsent && (!going || client.leaving.get() && input.is_empty()))
-        {
+        let more = going && !input.is_empty() && input.len() >= least;
+        if more && owed < MOST_PIPELINED {
+            // Guards the others against one that sends hundreds of commands at once.
+            tokio::task::yield_now().await;
+            continue;
+        }
+        if client.broken.get() || (owed == 0 && !unsent && !going) {
             return;
         }
-        // What is written behind an end is left unread: a client sends it again elsewhere.
-        let reads = going && owed < MOST_PIPELINED && !(client.leaving.get() && input.is_empty());
-        let spare: &mut [u8] = match input.spare() {
-            Ok(spare) if reads => spare,
-            Err(_) if reads => {
-                // The ring holds no whole command and has no room for the rest of one.
-                going = false;
-                client.fill(client.ticket(), b"-ERR command too long\r\n".to_vec());
-                continue;
-            }
-            _ => &mut [],
+        let left = client.leaving.get() && !client.begun.get();
+        let Ok(spare) = input.spare() else {
+            // The ring holds no whole command and has no room for the rest of one.
+            going = false;
+            client.fill(client.ticket(), b"-ERR command too long\r\n".to_vec());
+            continue;
         };
+        if left && owed == 0 && !unsent {
+            // Guards a command that has just come: only a connection on which nothing waits is closed.
+            match read.try_read(spare) {
+                Ok(n) if n > 0 => client.came(&mut input, n),
+                _ => return,
+            }
+            continue;
+        }
+        // What is written behind an end is left unread: a client sends it again elsewhere.
+        let reads = going && owed < MOST_PIPELINED && !left;
         tokio::select! {
             // Reading by the half spares the read that would only find nothing more.
             got = read.read(spare), if reads => match got {
                 Ok(0) | Err(_) => return,
-                Ok(n) => input.filled(n),
+                Ok(n) => client.came(&mut input, n),
             },
             _ = client.stream.writable(), if unsent => client.flush(),
             () = client.wake.notified() => {}
--- a/src/name_table.rs
+++ b/src/name_table.rs
@@ -186,7 +186,7 @@
                 poll.ring.consume(n);
                 return Ok(answer);
             }
-            Ok(Parsed::More) => {}
+            Ok(Parsed::More(_)) => {}
             Err(e) => return Err(Error::new(ErrorKind::InvalidData, e)),
         }
         poll.stream.readable().await?;
--- a/src/node.rs
+++ b/src/node.rs
@@ -360,6 +360,7 @@
     let clients = (config.sockets.saturating_sub(OTHERS) * 3 / 5).saturating_sub(streams).max(16);
     let front = RespFront::new(hub.clone(), clients);
     let mut accepting = vec![spawn_local(front.clone().listen(listener))];
+    spawn_local(front.clone().look());
     log::info!("{} listens on {}", config.name, config.listen);
     let second = second.map(|(listener, front)| {
         accepting.push(spawn_local(front.clone().listen(listener)));
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -320,7 +320,7 @@
                 let mut input = link.input.borrow_mut();
                 let (value, n) = match instance_reply(input.whole()) {
                     Ok(Parsed::Whole(reply, n)) => (then(reply)?, n),
-                    Ok(Parsed::More) => continue,
+                    Ok(Parsed::More(_)) => continue,
                     Err(_) => return None,
                 };
                 input.consume(n);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -8,7 +8,7 @@
 use std::io::Write;
 use winnow::ascii::crlf;
 use winnow::combinator::{alt, preceded, terminated};
-use winnow::error::{ContextError, ErrMode};
+use winnow::error::{ContextError, ErrMode, Needed};
 use winnow::prelude::*;
 use winnow::stream::Partial;
 use winnow::token::{literal, take, take_while};
@@ -31,8 +31,8 @@
 pub enum Parsed<T> {
     /// A whole message and its length in bytes.
     Whole(T, usize),
-    /// More bytes are wanted.
-    More,
+    /// More bytes are wanted, so many at the least: to look again before they are there is for nothing.
+    More(usize),
 }
 
 /// Bytes that are no message of this wire.
@@ -47,7 +47,8 @@
     let mut input = Partial::new(bytes);
     match parser.parse_next(&mut input) {
         Ok(value) => Ok(Parsed::Whole(value, bytes.len() - input.len())),
-        Err(ErrMode::Incomplete(_)) => Ok(Parsed::More),
+        Err(ErrMode::Incomplete(Needed::Size(n))) => Ok(Parsed::More(n.get())),
+        Err(ErrMode::Incomplete(Needed::Unknown)) => Ok(Parsed::More(1)),
         Err(_) => Err(Malformed),
     }
 }
@@ -166,6 +167,10 @@
 /// The first value that makes no sense.
 pub fn platform_command(platform: &Platform, safe: bool, words: &[&[u8]]) -> Result<Command, BadCommand> {
     let text = |i: usize, name| std::str::from_utf8(words[i]).map_err(|_| BadCommand::Term(name));
+    // Guards the instances' grammar: a query is never written with a body, anything else never without.
+    if words.len() != if safe { 3 } else { 4 } {
+        return Err(BadCommand::Term("body"));
+    }
     let body = words.get(3).map(|b| b.to_vec());
     let terms = text(2, "terms")?.to_string();
     let command = Command::new(platform, text(0, "customer")?, text(1, "id")?, terms, body)?;
@@ -286,7 +291,10 @@
     fn commands_come_whole_in_parts_or_not_at_all() {
         let all = b"*2\r\n$4\r\nPING\r\n$0\r\n\r\n";
         for cut in 0..all.len() {
-            assert_eq!(command_words(&all[..cut]), Ok(Parsed::More), "{cut}");
+            assert!(
+                matches!(command_words(&all[..cut]), Ok(Parsed::More(n)) if n <= all.len() - cut),
+                "{cut}"
+            );
         }
         assert_eq!(command_words(all), Ok(Parsed::Whole(vec![b"PING".as_slice(), b""], all.len())));
         let bad: [&[u8]; 6] =
@@ -310,7 +318,7 @@
     fn http_answers() {
         let all = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\n-42";
         for cut in 0..all.len() {
-            assert_eq!(http_answer(&all[..cut]), Ok(Parsed::More), "{cut}");
+            assert!(matches!(http_answer(&all[..cut]), Ok(Parsed::More(n)) if n <= all.len() - cut), "{cut}");
         }
         let want = HttpAnswer { status: 200, body: b"-42".to_vec(), close: true };
         assert_eq!(http_answer(all), Ok(Parsed::Whole(want, all.len())));
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -27,7 +27,8 @@
 
     fn ask(&mut self, class: &str, body: usize) -> CommandId {
         let terms = format!("c={class},t=national,d=1000,units=2,spread=1,first=0");
-        let command = Command::new(&self.platform, "7", "k", terms, Some(vec![0; body])).unwrap();
+        let partner = "0000000000000007";
+        let command = Command::new(&self.platform, partner, "k", terms, Some(vec![0; body])).unwrap();
         self.core.arrive(NOW, command)
     }
 
@@ -144,23 +145,56 @@
 #[test]
 fn memory_for_held_commands_is_bounded() {
     let mut bed = Bed::new(100_000);
-    bed.ask("fetch-episode", 60_000);
+    bed.ask("book-rebroadcast", 60_000);
     bed.started();
-    let id = bed.ask("fetch-episode", 60_000);
+    let id = bed.ask("book-rebroadcast", 60_000);
     assert!(matches!(bed.effects()[..], [Effect::Reply(i, Answer::Nack { .. })] if i == id));
 }
 
 #[test]
-fn terms_that_could_be_read_two_ways_are_no_command() {
+fn what_no_instance_could_read_or_use_is_no_command() {
+    // Guards quotas (a million units in a partner's name), the counter, and the connections to instances,
+    // which close on what they cannot read.
     let bed = Bed::new(1 << 20);
-    for terms in [
-        "c=fetch-episode,t=national,d=1000,units=2,spread=1,first=0,units=4",
-        "c=fetch-episode,t=national,d=1000,units=-2,spread=1,first=0",
-        "c=fetch-episode,t=national,d=soon,units=2,spread=1,first=0",
-        "c=fetch-episode,t=national,d=1000,units=NaN,spread=1,first=0",
-        "c=fetch-episode,t=national,units=2,spread=1,first=0",
-        "",
+    let good = "c=fetch-episode,t=national,d=1000,units=2,spread=1,first=0";
+    let (partner, id) = ("0000000000000007", "k");
+    let new = |partner: &str, id: &str, terms: &str, body: Option<Vec<u8>>| {
+        Command::new(&bed.platform, partner, id, terms.into(), body).is_ok()
+    };
+    assert!(new(partner, id, good, None) && new(partner, id, &good.replace("d=1000", "d=0.5"), None));
+    for (from, to) in [
+        ("units=2", "units=4,units=2"),
+        ("units=2", "units=-2"),
+        ("units=2", "units=0"),
+        ("units=2", "units=5"),
+        ("units=2", "units=NaN"),
+        ("units=2", "units=inf"),
+        ("units=2", "units=1e0"),
+        ("units=2", "units="),
+        ("units=2", "units=2,r=2"),
+        ("units=2", "units=2,,"),
+        ("units=2", "units=2,x"),
+        ("units=2", "units=2,x= "),
+        ("units=2,", ""),
+        ("spread=1", "spread=0"),
+        ("spread=1", "spread=1.5"),
+        ("spread=1", "spread=70000"),
+        ("first=0", "first=-1"),
+        ("first=0", "first=70000"),
+        ("d=1000", "d=soon"),
+        ("d=1000", "d=-1"),
+        ("d=1000", "d=99999999"),
+        ("d=1000,", ""),
+        ("fetch-episode", "fetch"),
+        ("national", "galactic"),
+        (good, ""),
     ] {
-        assert!(Command::new(&bed.platform, "7", "k", terms.into(), None).is_err(), "{terms}");
+        assert!(!new(partner, id, &good.replace(from, to), None), "{to} for {from}");
     }
+    for partner in ["", "7", "00000000000000007", "000000000000000x", "0000000200000000", "+000000000000007"]
+    {
+        assert!(!new(partner, id, good, None), "{partner}");
+    }
+    assert!(!new(partner, "", good, None) && !new(partner, "a b", good, None));
+    assert!(!new(partner, id, good, Some(vec![1])), "a query with a body");
 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -412,3 +412,47 @@
          expect c k2 busy"#,
     );
 }
+
+#[test]
+fn a_client_that_says_nothing_or_half_a_command_is_ended_within_three_seconds() {
+    play(
+        Wire::Resp,
+        Wire::Resp,
+        r"raw c *4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000
+         raw d
+         wait 1000
+         raw c 0000
+         expect c - -ERR no whole command
+         expect c - closed
+         expect d - -ERR no whole command
+         expect d - closed",
+    );
+}
+
+#[test]
+fn a_line_of_hundreds_of_commands_is_answered_whole_and_holds_nobody_up() {
+    let ping: String = r"*1\r\n$4\r\nPING\r\n".repeat(400);
+    let pong: String = "expect c - +PONG\n".repeat(400);
+    let many: String = (0..200).map(|i| format!("send d k{i} fetch-episode national 7\n")).collect();
+    let each: String = (0..200).map(|i| format!("expect d k{i}\n")).collect();
+    play(
+        Wire::Resp,
+        Wire::Resp,
+        &format!("always value news\nraw c {ping}\n{pong}{many}send e k fetch-episode city 8\nexpect e k served news\n{each}"),
+    );
+}
+
+#[test]
+fn a_command_with_values_that_make_no_sense_fails_and_never_reaches_an_instance() {
+    play_all(
+        "always value news
+         send c k1 fetch-episode city 7 units=1000000
+         expect c k1 failed
+         send c k2 book-rebroadcast city 7 units=nan
+         expect c k2 failed
+         send c k4 fetch-episode city 7
+         expect c k4 served news
+         runs k1 0
+         runs k2 0",
+    );
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -2,7 +2,7 @@
 //! loopback, and the scenario language that drives them. One line, one step; `C` is a client's connection,
 //! `I` an instance, `K` a command's id:
 //!
-//!     send C K CLASS PLAN PARTNER [d=MS] [body=BYTES]   a client sends a command
+//!     send C K CLASS PLAN PARTNER [d=MS] [units=N] [body=BYTES]   a client sends a command
 //!     raw C TEXT                           a client writes bytes as they stand (\r\n are escapes)
 //!     long C N                             a client writes a command of N bytes
 //!     expect C K WHAT                      its answer: served V, busy, failed, closed; or a prefix of a raw line
@@ -433,15 +433,19 @@
     async fn send(&mut self, words: &[&str]) {
         let [name, id, class, plan, partner, rest @ ..] = words else { panic!("{words:?}") };
         let size = rest.iter().find_map(|w| w.strip_prefix("body=")).unwrap_or("4");
-        let content = "B".repeat(size.parse().unwrap());
+        let safe = *class == "fetch-episode";
+        let content = if safe { String::new() } else { "B".repeat(size.parse().unwrap()) };
         let d = rest.iter().find_map(|w| w.strip_prefix("d=")).unwrap_or("2000");
+        let units = rest.iter().find_map(|w| w.strip_prefix("units=")).unwrap_or("2");
         match self.client(name).await {
             Client::Resp { stream, sent, .. } => {
-                let verb = if *class == "fetch-episode" { "SVC.QUERY" } else { "SVC.SUBMIT" };
-                let terms = format!("c={class},t={plan},d={d},units=2,spread=1,first=0");
+                let verb = if safe { "SVC.QUERY" } else { "SVC.SUBMIT" };
+                let terms = format!("c={class},t={plan},d={d},units={units},spread=1,first=0");
                 let partner = format!("{partner:0>16}");
-                let mut text = "*5\r\n".to_string();
-                for word in [verb, partner.as_str(), id, &terms, &content] {
+                let words = [verb, partner.as_str(), id, &terms, &content];
+                let words = &words[..if safe { 4 } else { 5 }];
+                let mut text = format!("*{}\r\n", words.len());
+                for word in words {
                     text.push_str(&format!("${}\r\n{word}\r\n", word.len()));
                 }
                 stream.write_all(text.as_bytes()).await.unwrap();
@@ -453,7 +457,7 @@
                     .header("req-id", *id)
                     .header("api-plan", *plan)
                     .header("req-deadline-ms", d)
-                    .header("api-terms", "units=2,spread=1,first=0")
+                    .header("api-terms", format!("units={units},spread=1,first=0"))
                     .body(())
                     .unwrap();
                 let mut ready = send.clone().ready().await.unwrap();
@@ -539,7 +543,7 @@
         match words.as_slice() {
             ["send", rest @ ..] => self.send(rest).await,
             ["raw", name, ..] => {
-                let text = line.split_once(name).unwrap().1.trim_start();
+                let text = line.splitn(3, ' ').nth(2).unwrap_or("");
                 let text = text.replace("\\r", "\r").replace("\\n", "\n");
                 let Client::Resp { stream, .. } = self.client(name).await else { panic!("raw is for RESP") };
                 stream.write_all(text.as_bytes()).await.unwrap();
