A spoilt counter answer costs one call alone; hanging replies are given up early

At fault: counter.rs tied a name to one of 4 connections, so an answer said to be longer than it is held that connection up for DEAD_MS and three failed calls in a row made the module believe in an outage; balance.rs `counted` let units that an unread answer had added lapse; upstream.rs waited until the deadline for a reply that hangs halfway, and asked the runtime's memory, not the system, whether an idle connection is quiet. Now: a call takes a free connection of up to 12; a begun answer counts as added and the next total, asked for at once, grants it; late totals count; 1xx heads are skipped; a reply has the connect time to come whole (both wires); a connection rests 2 ms behind an answer and is peeked at; an error line that is neither BUSY nor ERR is noise; figures that are no numbers are none. Ruled out: 503s (few, at 6 and 10 s only) and slow calls (99% under 25 ms).

--- a/src/api.rs
+++ b/src/api.rs
@@ -281,11 +281,20 @@
     Counted {
         /// The name.
         name: u64,
-        /// How; after a time-out the amount may have been added.
+        /// How; after a time-out the amount may have been added, after an error it was.
         outcome: Outcome,
         /// Total after the call, when it is ok.
         total: f64,
     },
+    /// The total of a call that had ended in a time-out has come after all.
+    CountedLate {
+        /// The name.
+        name: u64,
+        /// The call's amount, which was added.
+        amount: f64,
+        /// Total after the call.
+        total: f64,
+    },
 }
 
 /// What the gateway is to do, in the order given.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,6 +57,8 @@
 const SLOW_CALL: f64 = 0.4;
 /// Failed counter calls in a row that mean silence.
 const SILENT: u32 = 3;
+/// A call's total is awaited this long, s: without one it counted nothing, or has been read since.
+const LATE: f64 = 5.0;
 /// Most customers remembered; those idle longest go first.
 const CUSTOMERS: usize = 20_000;
 
@@ -159,6 +161,9 @@
                 }
             }
             Event::Counted { name, outcome, total } => self.counted(now, name, outcome, total, actions),
+            Event::CountedLate { name, amount, total } => {
+                self.counted_late(now, name, (amount, total), actions);
+            }
         }
     }
 
@@ -463,9 +468,12 @@
     }
 
     fn counted(&mut self, now: f64, name: u64, outcome: Outcome, total: f64, actions: &mut Vec<Action>) {
-        let Some(id) = self.m.calls.remove(&name) else { return };
+        let Some(&(id, ..)) = self.m.calls.get(&name) else { return };
+        if outcome != Outcome::Timeout {
+            self.m.calls.remove(&name);
+        }
         let Some(c) = self.m.customers.get_mut(&id) else { return };
-        let Some((amount, window)) = c.in_flight.take() else { return };
+        let Some((mut amount, window)) = c.in_flight.take() else { return };
         let plan = self.set.plans[c.plan].clone();
         let good = outcome == Outcome::Ok && now - c.asked_at < SLOW_CALL * self.set.counter_timeout;
         let strain = self.m.strain;
@@ -480,7 +488,13 @@
             return self.tally(now, id, window, (!failed).then_some(total), actions);
         }
         if failed {
-            if outcome == Outcome::Timeout && amount > 0.0 && window == c.window {
+            if outcome == Outcome::Error && window == c.window {
+                // Added, but the total was spoilt: the next one tells what it grants, at once as a rule.
+                c.lost += amount;
+                if self.m.call_fails < SILENT {
+                    return self.settle(now, id, false, actions);
+                }
+            } else if outcome == Outcome::Timeout && amount > 0.0 && window == c.window {
                 c.total += amount;
             }
             c.blocked_until = now + 0.1;
@@ -490,6 +504,7 @@
             c.read_last = false;
             c.carry = (c.allowed_last - total).clamp(0.0, plan.burst);
         } else if window == c.window {
+            amount += std::mem::take(&mut c.lost);
             if total < c.own + amount - 0.01 * (1.0 + c.own) {
                 // Totals went back: the counter came back empty. Grants of this window may be given again.
                 self.m.outage_at = now;
@@ -521,6 +536,18 @@
         self.settle(now, id, false, actions);
     }
 
+    /// A total that came too late for its call, whose amount was held to be used up.
+    fn counted_late(&mut self, now: f64, name: u64, (amount, total): (f64, f64), actions: &mut Vec<Action>) {
+        let Some(&(id, window, _)) = self.m.calls.get(&name) else { return };
+        let Some(c) = self.m.customers.get_mut(&id).filter(|c| !c.thin && c.window == window) else { return };
+        c.lost += amount;
+        c.total -= amount.max(0.0);
+        if c.in_flight.is_none() {
+            c.in_flight = Some((0.0, window));
+            self.counted(now, name, Outcome::Ok, total, actions);
+        }
+    }
+
     /// Drops the longest idle customers when the memory is full.
     fn forget(&mut self, now: f64) {
         let mut last: Vec<f64> = self.m.customers.values().map(|c| c.last).collect();
@@ -627,6 +654,7 @@
             self.m.measure_warm(now, warm, WARM);
         }
         self.watch(now, actions);
+        self.m.calls.retain(|_, (.., made)| now - *made < LATE);
         for (&id, h) in &mut self.m.hosts {
             if h.ready && h.ejected.is_some_and(|until| now >= until) {
                 if self.set.may_probe {
@@ -861,7 +889,7 @@
             self.hand = self.hand.min(0.0);
         }
         self.window = window;
-        (self.total, self.own, self.known_at, self.blocked_until) = (0.0, 0.0, now, 0.0);
+        (self.total, self.own, self.lost, self.known_at, self.blocked_until) = (0.0, 0.0, 0.0, now, 0.0);
     }
 
     /// This gateway's even share of rate and burst, where the counter is no help.
--- a/src/core.rs
+++ b/src/core.rs
@@ -354,6 +354,12 @@
         self.settle(now);
     }
 
+    /// The total of a call that was given up before has come after all.
+    pub fn counted_late(&mut self, now: f64, add: Add, total: f64) {
+        self.facade.report(now, Report::CountedLate(add.name, add.amount, total));
+        self.settle(now);
+    }
+
     /// A probe has ended.
     pub fn probed(&mut self, now: f64, instance: InstanceId, outcome: Outcome, load: Vec<f64>) {
         self.facade.report(now, Report::Probed(instance, outcome, load));
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -1,8 +1,8 @@
-//! Calls to the counter service. It owns a few pipelined connections; a name always takes the same one, so
-//! that its answers come in the order of its calls. When the service moves, calls already written are
-//! answered where they were made and all others go to the new place. It must never repeat a call that may
-//! have counted, take a late answer for another call's, use a connection on which an answer made no sense,
-//! or hold a call back beyond the wait in the settings.
+//! Calls to the counter service. It owns a few connections, one call on each as long as there are enough, so
+//! that an answer that hangs or is spoilt costs no other call its own. When the service moves, calls already
+//! written are answered where they were made and all others go to the new place. It must never repeat a call
+//! that may have counted, take a late answer for another call's, use a connection on which an answer made no
+//! sense, or hold a call back beyond the wait in the settings.
 
 use crate::api::Outcome;
 use crate::facade::Add;
@@ -22,10 +22,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-/// Connections. Few, since each costs a descriptor and a wake-up; more than one, since a slow part of the
-/// counter holds up what is behind it.
-pub const LANES: usize = 4;
-/// A connection whose oldest call has waited this long is given up, ms.
+/// Most connections: enough for the calls that are usually out together and for some on which an answer hangs.
+pub const LANES: usize = 12;
+/// A connection whose oldest call has waited this long is given up, ms: until then a late total may come.
 const DEAD_MS: f64 = 1500.0;
 /// Idle connections are closed after this long, ms, well before the counter does it.
 const IDLE_MS: f64 = 5000.0;
@@ -50,6 +49,8 @@
     output: Option<Ring>,
     connecting: bool,
     used: f64,
+    /// Bytes of an answer that is not whole have come.
+    begun: bool,
 }
 
 /// The counter at one address.
@@ -79,8 +80,19 @@
         self.lanes.iter().any(|lane| lane.borrow().written.iter().any(|c| !c.told))
     }
 
+    /// The connection for the next call: one that is up and free, else a new one, else that with the fewest.
+    fn lane(&self) -> usize {
+        let order = |lane: &RefCell<Lane>| {
+            let lane = lane.borrow();
+            let calls = lane.written.len() + lane.waiting.len();
+            (calls, calls == 0 && lane.stream.is_none())
+        };
+        let lanes = self.lanes.iter().enumerate();
+        lanes.min_by_key(|(_, lane)| order(lane)).map_or(0, |(lane_no, _)| lane_no)
+    }
+
     fn call(self: &Rc<Self>, hub: &Rc<Hub>, wait_ms: f64, call: Call) {
-        let lane_no = (call.add.name % LANES as u64) as usize;
+        let lane_no = self.lane();
         let mut lane = self.lanes[lane_no].borrow_mut();
         lane.used = hub.now();
         if lane.stream.is_some() {
@@ -103,15 +115,20 @@
     fn expire(&self, now: f64, late: f64, ended: &mut Vec<(u64, Outcome)>) {
         for (lane, wake) in self.lanes.iter().zip(&self.wake) {
             let mut lane = lane.borrow_mut();
-            for call in lane.written.iter_mut().take_while(|c| c.made <= late).filter(|c| !c.told) {
-                call.told = true;
-                ended.push((call.add.name, Outcome::Timeout));
+            // An answer that has begun is one to the oldest call: it was added.
+            let mut outcome = if lane.begun { Outcome::Error } else { Outcome::Timeout };
+            for call in lane.written.iter_mut().take_while(|c| c.made <= late) {
+                if !std::mem::replace(&mut call.told, true) {
+                    ended.push((call.add.name, outcome));
+                }
+                outcome = Outcome::Timeout;
             }
             // Never written, so nothing was added; dropped, so nothing ever will be.
             while lane.waiting.front().is_some_and(|c| c.made <= late) {
                 ended.extend(lane.waiting.pop_front().map(|c| (c.add.name, Outcome::ConnectFailed)));
             }
-            let dead = lane.written.front().is_some_and(|c| now - c.made > DEAD_MS);
+            let spoilt = lane.begun && lane.written.front().is_some_and(|c| c.told);
+            let dead = spoilt || lane.written.front().is_some_and(|c| now - c.made > DEAD_MS);
             let idle = lane.written.is_empty() && lane.waiting.is_empty() && now - lane.used > IDLE_MS;
             if lane.stream.is_some() && (dead || idle) {
                 ended.extend(lane.broke());
@@ -213,11 +230,14 @@
         Ok(())
     }
 
-    /// The connection is no more: what was written may have been added. Calls still in the ring were not
-    /// written whole, but telling which would gain little: they count as "may have".
+    /// The connection is no more: what was written may have been added, and was if an answer to it had begun.
+    /// Calls still in the ring were not written whole, but telling which would gain little: they "may have".
     fn broke(&mut self) -> Vec<(u64, Outcome)> {
         (self.stream, self.output) = (None, None);
-        self.written.drain(..).filter(|c| !c.told).map(|c| (c.add.name, Outcome::Timeout)).collect()
+        let first = if std::mem::take(&mut self.begun) { Outcome::Error } else { Outcome::Timeout };
+        let outcomes = std::iter::once(first).chain(std::iter::repeat(Outcome::Timeout));
+        let ended = self.written.drain(..).zip(outcomes).filter(|(c, _)| !c.told);
+        ended.map(|(c, outcome)| (c.add.name, outcome)).collect()
     }
 }
 
@@ -292,29 +312,46 @@
         }
     }
     loop {
+        if input.is_empty() {
+            return true;
+        }
         let answer = match http_answer(input.whole()) {
             Ok(Parsed::Whole(answer, n)) => {
                 input.consume(n);
                 answer
             }
-            Ok(Parsed::More(_)) => return true,
-            Err(_) => return false,
+            // Guards against a spoilt connection: nobody waits for this answer.
+            Ok(Parsed::More(_)) if lane.borrow().written.is_empty() => return false,
+            more => {
+                lane.borrow_mut().begun = true;
+                return more.is_ok();
+            }
+        };
+        let call = {
+            let mut lane = lane.borrow_mut();
+            lane.begun = false;
+            let Some(call) = lane.written.pop_front() else { return false };
+            call
         };
-        let Some(call) = lane.borrow_mut().written.pop_front() else { return false };
         let total = std::str::from_utf8(&answer.body).ok().and_then(|t| t.trim().parse::<f64>().ok());
         let (outcome, total) = match (answer.status, total) {
             (200, Some(total)) if total.is_finite() => (Outcome::Ok, total),
-            // Added, but the total is garbage.
-            (200, _) => (Outcome::Timeout, 0.0),
-            (503, _) => (Outcome::Full, 0.0),
-            _ => (Outcome::Error, 0.0),
+            // Added, but the total cannot be read.
+            (200, _) => (Outcome::Error, 0.0),
+            // Turned away, or no such call.
+            (503 | 400 | 404, _) => (Outcome::Full, 0.0),
+            _ => (Outcome::Timeout, 0.0),
         };
-        if !call.told {
-            hub.with_core(|core, now| core.counted(now, call.add.name, outcome, total));
+        match call {
+            Call { told: true, add, .. } if outcome == Outcome::Ok => {
+                hub.with_core(|core, now| core.counted_late(now, add, total));
+            }
+            Call { told: true, .. } => {}
+            Call { add, .. } => hub.with_core(|core, now| core.counted(now, add.name, outcome, total)),
         }
         // Guards against a connection on which an answer came spoilt: what follows on it may be the rest of
         // that, and would be taken for the totals of other calls.
-        if answer.close || outcome == Outcome::Timeout {
+        if answer.close || matches!(outcome, Outcome::Error | Outcome::Timeout) {
             return false;
         }
     }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -105,6 +105,8 @@
     Probed(InstanceId, Outcome, Vec<f64>),
     /// A counter call for this name has ended, with the total.
     Counted(u64, Outcome, f64),
+    /// One that had ended without has a total after all: name, amount, total.
+    CountedLate(u64, f64, f64),
 }
 
 /// The module behind its three calls.
@@ -172,6 +174,7 @@
                 Event::Probed { host: instance, outcome, report: load }
             }
             Report::Counted(name, outcome, total) => Event::Counted { name, outcome, total },
+            Report::CountedLate(name, amount, total) => Event::CountedLate { name, amount, total },
         };
         self.handle(now, event);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -109,6 +109,8 @@
     pub(crate) read_last: bool,
     pub(crate) allowed_last: f64,
     pub(crate) in_flight: Option<(f64, i64)>,
+    /// Added in this window by calls whose totals could not be read: the next total grants them too.
+    pub(crate) lost: f64,
     pub(crate) blocked_until: f64,
     pub(crate) demand: f64,
     pub(crate) units: f64,
@@ -144,7 +146,8 @@
     pub(crate) hosts: BTreeMap<HostId, Host>,
     pub(crate) requests: BTreeMap<RequestId, Open>,
     pub(crate) customers: BTreeMap<CustomerId, Customer>,
-    pub(crate) calls: BTreeMap<u64, CustomerId>,
+    /// Calls by name: the customer, the window and when. Those given up stay a while, for a late total.
+    pub(crate) calls: BTreeMap<u64, (CustomerId, i64, f64)>,
     pub(crate) level: usize,
     /// Share of the last attempts that were out for long.
     pub(crate) slow_share: f64,
@@ -243,7 +246,7 @@
         if let Some(c) = self.customers.get_mut(&id) {
             (c.in_flight, c.asked_at) = (Some((amount, window)), now);
         }
-        self.calls.insert(name, id);
+        self.calls.insert(name, (id, window, now));
         Action::Count { name, amount, lives: lives.min(60.0) }
     }
 
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -18,15 +18,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 /// Share of the idle time in the settings after which a connection is retired.
 const RETIRE: f64 = 0.6;
+/// A connection rests this long behind an answer, ms.
+const REST_MS: f64 = 2.0;
 /// Largest reply: value, figures and report.
 const MOST_REPLY: usize = 256 * 1024;
 /// Connections at an instance under which a failed connect says nothing of its limit.
@@ -206,14 +209,17 @@
     fn reuse(&self, now: f64, instance: InstanceId, addr: SocketAddr) -> Option<Rc<Link>> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&instance)?;
-        while let Some(idle) = pool.idle.pop() {
+        // Guards against what may come right behind an answer: it must not meet the next command.
+        while let Some(rested) = pool.idle.iter().rposition(|idle| now - idle.since >= REST_MS) {
+            let idle = pool.idle.remove(rested);
             if now - idle.since >= self.retire_ms {
-                pool.idle.clear();
+                pool.idle.drain(..rested);
                 return None;
             }
-            // Guards against work that "may have run" for nothing: an end or a reset that is already here
-            // is seen before the command is written.
-            let quiet = idle.link.stream.try_read(&mut [0; 1]);
+            // Guards against work that "may have run" for nothing, and against an answer that is another
+            // command's: an end, a reset or bytes that are already here are seen before the command is
+            // written. The system is asked itself: the runtime would answer from what it last heard.
+            let quiet = socket2::SockRef::from(&idle.link.stream).peek(&mut [MaybeUninit::uninit(); 1]);
             let moved = idle.link.addr != addr;
             if !moved && quiet.is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
                 return Some(idle.link);
@@ -262,7 +268,11 @@
     if let Some(link) = upstream.reuse(hub.now(), instance, addr) {
         return Some(link);
     }
-    let seat = upstream.seat(hub.now(), instance)?;
+    let Some(seat) = upstream.seat(hub.now(), instance) else {
+        // There may be one that only needs its rest.
+        tokio::time::sleep(Duration::from_secs_f64(REST_MS / 1e3)).await;
+        return upstream.reuse(hub.now(), instance, addr);
+    };
     match timeout(upstream.dial, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => {
             let _ = stream.set_nodelay(true);
@@ -302,8 +312,10 @@
     }
 }
 
-/// Reads one reply and turns it into something by `then`; none: the link broke or brought garbage.
-async fn read<T>(link: &Link, then: impl Fn(Reply) -> Option<T>) -> Option<T> {
+/// Reads one reply and turns it into something by `then`; none: the link broke or brought garbage, or a reply
+/// that began and did not come whole within `whole`: one whose length is wrong would hang till the deadline.
+async fn read<T>(link: &Link, whole: Duration, then: impl Fn(Reply) -> Option<T>) -> Option<T> {
+    let (mut least, mut until) = (1, None);
     loop {
         let got = {
             let mut input = link.input.borrow_mut();
@@ -318,15 +330,25 @@
             Ok(0) => return None,
             Ok(_) => {
                 let mut input = link.input.borrow_mut();
+                if input.len() < least {
+                    continue;
+                }
                 let (value, n) = match instance_reply(input.whole()) {
                     Ok(Parsed::Whole(reply, n)) => (then(reply)?, n),
-                    Ok(Parsed::More(_)) => continue,
+                    Ok(Parsed::More(more)) => {
+                        least = input.len() + more;
+                        until.get_or_insert_with(|| tokio::time::Instant::now() + whole);
+                        continue;
+                    }
                     Err(_) => return None,
                 };
                 input.consume(n);
                 return Some(value);
             }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => link.stream.readable().await.ok()?,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => match until {
+                Some(until) => timeout_at(until, link.stream.readable()).await.ok()?.ok()?,
+                None => link.stream.readable().await.ok()?,
+            },
             Err(_) => return None,
         }
     }
@@ -392,7 +414,7 @@
         let _ = stream.send_data(Bytes::copy_from_slice(body), true);
     }
     *held.borrow_mut() = Some(Abandon::Reset(stream));
-    let end = answer_http2(hub.platform(), response).await;
+    let end = answer_http2(hub, response).await;
     held.borrow_mut().take();
     let now = hub.now();
     shared.used.set(now);
@@ -402,7 +424,8 @@
     end
 }
 
-async fn answer_http2(platform: &Platform, response: h2::client::ResponseFuture) -> End {
+async fn answer_http2(hub: &Hub, response: h2::client::ResponseFuture) -> End {
+    let platform = hub.platform();
     let (head, mut stream) = match response.await {
         Ok(response) => response.into_parts(),
         Err(e) => return End::without(wire_http2::broken(&e)),
@@ -413,10 +436,10 @@
     if outcome != Outcome::Ok {
         return End { outcome, value: None, load };
     }
-    match wire_http2::collect(&mut stream).await {
-        Ok(value) => End { outcome, value: Some(value), load },
-        // It has begun to answer, so it ran, whatever ended the stream.
-        Err(_) => End::without(Outcome::Reset),
+    match timeout(hub.upstream().dial, wire_http2::collect(&mut stream)).await {
+        Ok(Ok(value)) => End { outcome, value: Some(value), load },
+        // It has begun to answer, so it ran, whatever ended the stream or keeps it from its end.
+        _ => End::without(Outcome::Reset),
     }
 }
 
@@ -432,7 +455,7 @@
     if !sent || !write(&link).await {
         return End::without(Outcome::ConnectFailed);
     }
-    let end = read(&link, |reply| ending(hub.platform(), reply)).await;
+    let end = read(&link, hub.upstream().dial, |reply| ending(hub.platform(), reply)).await;
     held.borrow_mut().take();
     match end {
         Some(end) => {
@@ -461,7 +484,12 @@
         },
         Reply::Error(text) => {
             let mut words = text.split(|b| *b == b' ');
-            let outcome = if words.next() == Some(b"BUSY") { Outcome::Full } else { Outcome::Error };
+            // What is neither of these is noise, and says nothing of the instance's class or queue.
+            let outcome = match words.next() {
+                Some(b"BUSY") => Outcome::Full,
+                Some(b"ERR") => Outcome::Error,
+                _ => return None,
+            };
             let last = words.next_back().filter(|w| w.contains(&b'='));
             let load = last.map_or(Vec::new(), |report| load(platform, report));
             Some(End { outcome, value: None, load })
@@ -470,7 +498,7 @@
     }
 }
 
-/// The figures of a load report in the order of the settings' columns; empty where one is missing.
+/// The figures of a load report in the order of the settings' columns; empty where one is missing or no number.
 fn load(platform: &Platform, report: &[u8]) -> Vec<f64> {
     let text = std::str::from_utf8(report).unwrap_or("");
     let find = |column: &String| {
@@ -485,7 +513,8 @@
         };
         let pairs = text.split(',').filter_map(|p| p.split_once('='));
         let mut named = pairs.filter(|(name, _)| name == column || *name == other);
-        named.next().and_then(|(_, value)| value.parse().ok())
+        let value = named.next().and_then(|(_, value)| value.parse::<f64>().ok());
+        value.filter(|v| v.is_finite() && *v >= 0.0)
     };
     platform.columns.iter().map(find).collect::<Option<Vec<f64>>>().unwrap_or_default()
 }
@@ -504,14 +533,16 @@
     if link.output.borrow_mut().push(&bytes).is_err() || !write(&link).await {
         return failed;
     }
-    let answer = read(&link, |reply| match reply {
+    let answer = read(&link, hub.upstream().dial, |reply| match reply {
         Reply::Bulk(Some(report)) => Some((Outcome::Ok, load(hub.platform(), report))),
         Reply::Error(_) => Some((Outcome::Error, Vec::new())),
         _ => None,
     });
     match answer.await {
         Some(result) => {
-            hub.upstream().keep(hub.now(), instance, link);
+            if link.input.borrow().is_empty() {
+                hub.upstream().keep(hub.now(), instance, link);
+            }
             result
         }
         None => (Outcome::Reset, Vec::new()),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -240,7 +240,17 @@
     }
 }
 
+/// An answer behind any number of 1xx heads, which say nothing.
 fn answer(input: &mut In<'_>) -> ModalResult<HttpAnswer> {
+    loop {
+        let answer = one_answer(input)?;
+        if !(100..200).contains(&answer.status) {
+            return Ok(answer);
+        }
+    }
+}
+
+fn one_answer(input: &mut In<'_>) -> ModalResult<HttpAnswer> {
     preceded(literal(b"HTTP/1."), take(2usize)).parse_next(input)?;
     let status: &[u8] = take_while(3..=3, |b: u8| b.is_ascii_digit()).parse_next(input)?;
     line(input)?;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -104,6 +104,12 @@
         sent
     }
 
+    /// One request of a customer with a quota; itself if it was sent at once.
+    pub fn ask_unit(&mut self, customer: CustomerId) -> Vec<RequestId> {
+        self.ask(0, 1, customer, 1.0);
+        self.sends()
+    }
+
     /// Requests that the last event sent attempts of.
     pub fn sends(&self) -> Vec<RequestId> {
         let to = |a: &Action| match a {
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -6,7 +6,7 @@
 
 #[test]
 fn a_booking_that_breaks_halfway_is_not_made_again() {
-    for fault in ["half", "reset", "goaway", "error", "garbage"] {
+    for fault in ["half", "reset", "goaway", "error", "garbage", "hang"] {
         play_all(&format!(
             "send c k1 book-rebroadcast city 7
              answer * k1 {fault}
@@ -28,6 +28,39 @@
     );
 }
 
+#[test]
+fn a_fetch_whose_answer_hangs_halfway_is_made_again_long_before_its_deadline() {
+    play_all(
+        "send c k1 fetch-episode city 7 d=1000
+         answer * k1 hang
+         answer * k1 value news
+         expect c k1 served news
+         runs k1 2",
+    );
+}
+
+#[test]
+fn what_comes_beside_a_value_never_becomes_another_commands_answer() {
+    play(
+        Wire::Resp,
+        Wire::Resp,
+        "state b left
+         wait 50
+         send c k1 book-rebroadcast city 7
+         answer a k1 twice first
+         expect c k1 served first
+         send c k2 book-rebroadcast city 7
+         answer a k2 odd second
+         expect c k2 served second
+         send c k3 book-rebroadcast city 7
+         answer a k3 noise
+         expect c k3 failed
+         send c k4 book-rebroadcast city 7
+         answer a k4 value fourth
+         expect c k4 served fourth",
+    );
+}
+
 #[test]
 fn a_booking_that_never_ran_is_sent_elsewhere() {
     for fault in ["busy", "refuse"] {
@@ -237,7 +270,7 @@
 
 #[test]
 fn a_counter_out_of_order_costs_no_command_its_answer() {
-    for fault in ["silent", "full", "late", "garbage", "close"] {
+    for fault in ["silent", "full", "late", "garbage", "spoilt", "half", "close"] {
         play(
             Wire::Resp,
             Wire::Resp,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -127,6 +127,51 @@
     assert!(calls < 120, "{calls} calls to a dead counter");
 }
 
+#[test]
+fn what_a_spoilt_answer_of_the_counter_added_is_granted_by_the_next_total() {
+    // Guards quotas against units that are added and never granted, each by an answer without a number.
+    let mut bed = Bed::new(settings(), 4);
+    let id = bed.ask(0, 1, 5, 1.0);
+    let (name, first) = bed.counts()[0];
+    bed.tell(Event::Counted { name, outcome: Outcome::Error, total: 0.0 });
+    let (name, second) = bed.counts()[0];
+    assert!(bed.sends().is_empty() && !bed.refused(id), "held: the next total comes at once");
+    bed.tell(Event::Counted { name, outcome: Outcome::Ok, total: first + second });
+    assert_eq!(bed.sends(), vec![id]);
+    let granted = 1 + (0..100).take_while(|_| !bed.ask_unit(5).is_empty()).count();
+    assert_eq!(granted, (first + second) as usize);
+}
+
+#[test]
+fn a_counter_that_answers_nothing_but_noise_is_not_asked_without_end() {
+    let mut bed = Bed::new(settings(), 4);
+    bed.ask(0, 1, 5, 1.0);
+    let mut calls = 0;
+    while let Some(&(name, _)) = bed.counts().first() {
+        calls += 1;
+        assert!(calls < 10, "call after call");
+        bed.tell(Event::Counted { name, outcome: Outcome::Error, total: 0.0 });
+    }
+}
+
+#[test]
+fn a_late_total_grants_what_its_call_added() {
+    // Under a ceiling, so that no share lets anything in.
+    let mut set = settings();
+    (set.plans[1].ceiling_rate, set.plans[1].ceiling_burst) = (20.0, 40.0);
+    let mut bed = Bed::new(set, 4);
+    // The last window is read first, as it is under a ceiling.
+    bed.ask(0, 1, 5, 1.0);
+    let (name, _) = bed.counts()[0];
+    bed.tell(Event::Counted { name, outcome: Outcome::Ok, total: 0.0 });
+    let (name, amount) = bed.counts()[0];
+    bed.now += 0.1;
+    bed.tell(Event::Counted { name, outcome: Outcome::Timeout, total: 0.0 });
+    assert!(bed.sends().is_empty());
+    bed.tell(Event::CountedLate { name, amount, total: amount });
+    assert_eq!(bed.ask_unit(5).len(), 1, "in hand");
+}
+
 #[test]
 fn totals_that_go_back_are_not_granted_again() {
     let mut bed = Bed::new(settings(), 4);
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -7,13 +7,14 @@
 //!     long C N                             a client writes a command of N bytes
 //!     expect C K WHAT                      its answer: served V, busy, failed, closed; or a prefix of a raw line
 //!     expect I K                           an attempt arrives whole (`*`: at any instance)
-//!     answer I K HOW                       value V, last V (and closes, RESP), busy, error, half (breaks halfway), reset, refuse, goaway, garbage
+//!     answer I K HOW                       value V, last V (and closes, RESP), busy, error, half (breaks halfway), reset, refuse, goaway, garbage,
+//!                                          hang (halfway), noise (RESP), twice V, odd V (with figures that make no sense, RESP)
 //!     always HOW                           from now on instances answer at once
 //!     reset C K / close C                  the client gives up a command (its connection on RESP) / closes
 //!     state I STATE                        discovery tells of an instance (a, b): active, leaving, left
 //!     inventory NAMES                      the operator's file names these, and is read again (SIGHUP)
 //!     unseen                               instances send GOAWAY below every stream (HTTP/2)
-//!     counter HOW                          it is silent, full, late, or answers garbage, close, ok
+//!     counter HOW                          it is silent, full, late, or answers garbage, spoilt, half, close, ok
 //!     agent HOW                            discovery answers garbage, error, nonsense, ok
 //!     move PARTS                           discovery, counter: are elsewhere from now on, as the configuration (SIGHUP) says
 //!     config TEXT                          the configuration file holds this, and is read again (SIGHUP)
@@ -112,7 +113,10 @@
             ("value" | "last", v) => format!("*3\r\n${}\r\n{v}\r\n$-1\r\n$-1\r\n", v.len()),
             ("busy" | "refuse", _) => "-BUSY\r\n".to_string(),
             ("error", _) => "-ERR failed\r\n".to_string(),
-            ("half", _) => "*3\r\n$10\r\nabc".to_string(),
+            ("half" | "hang", _) => "*3\r\n$10\r\nabc".to_string(),
+            ("twice", v) => format!("*3\r\n${0}\r\n{v}\r\n$-1\r\n$-1\r\n", v.len()).repeat(2),
+            ("noise", _) => "-what is this\r\n".to_string(),
+            ("odd", v) => format!("*3\r\n${}\r\n{v}\r\n+what\r\n$9\r\nlat_ms=no\r\n", v.len()),
             ("garbage", _) => "!what is this\r\n".to_string(),
             _ => String::new(),
         };
@@ -192,6 +196,11 @@
                     send.send_reset(h2::Reason::INTERNAL_ERROR);
                 }
                 ("refuse", _) => respond.send_reset(h2::Reason::REFUSED_STREAM),
+                ("hang", _) => {
+                    let mut send = respond.send_response(head(200).body(()).unwrap(), false).unwrap();
+                    send.send_data(Bytes::from_static(b"abc"), false).unwrap();
+                    std::future::pending::<()>().await;
+                }
                 ("goaway", _) => {
                     abrupt.notify_one();
                     std::future::pending::<()>().await;
@@ -226,7 +235,9 @@
                 "late" => tokio::time::sleep(Duration::from_millis(200)).await,
                 "full" => answer = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".into(),
                 "garbage" => answer = "what?\r\n\r\n".into(),
-                _ => {}
+                "spoilt" => answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwhat".into(),
+                "half" => answer = "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nwhat".into(),
+                _ => answer.insert_str(0, "HTTP/1.1 103 Early Hints\r\n\r\n"),
             }
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
