Forget customers, instances, caps and numbers that have no use any more

At fault: balance.rs kept a customer until 20,000 others were known; name_table kept a number and a place for each name ever heard; upstream kept learnt caps of instances that had left and idle connections to leaving ones; a client could set a timer an hour away. Now: a customer goes three windows after its last request, when its store (and a ceiling's reserve) is full and it is as good as new; numbers and places go with "left" or a whole list, and are not given again; caps go on release; waits are held to the class's deadline.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -59,6 +59,8 @@
 const SILENT: u32 = 3;
 /// A call's total is awaited this long, s: without one it counted nothing, or has been read since.
 const LATE: f64 = 5.0;
+/// Windows without a request after which a customer is as good as new.
+const IDLE: f64 = 3.0;
 /// Most customers remembered; those idle longest go first.
 const CUSTOMERS: usize = 20_000;
 
@@ -548,6 +550,19 @@
         }
     }
 
+    /// Drops customers of whom nothing is known that a new one would not be given: their stores are full, and
+    /// under a ceiling their reserve. Many come once and never again.
+    fn forget_idle(&mut self, now: f64) {
+        let plans = &self.set.plans;
+        self.m.customers.retain(|_, c| {
+            let plan = &plans[c.plan];
+            let fill = (plan.ceiling_burst - plan.burst) / (plan.ceiling_rate - plan.rate).max(1e-3);
+            let window = if plan.rate > 0.0 { plan.window(if c.thin { LONG } else { 1.0 }) } else { 0.0 };
+            let busy = c.out > 0 || c.in_flight.is_some() || c.hand < 0.0;
+            busy || now - c.last <= (IDLE * window).max(fill)
+        });
+    }
+
     /// Drops the longest idle customers when the memory is full.
     fn forget(&mut self, now: f64) {
         let mut last: Vec<f64> = self.m.customers.values().map(|c| c.last).collect();
@@ -650,6 +665,7 @@
         actions.push(Action::Timer { after: TICK, token: 0 });
         self.learn(now);
         if now - self.m.warm_at >= 1.0 {
+            self.forget_idle(now);
             let warm = self.m.hosts.values().filter(|h| h.ready && self.warmth(now, h) >= 1.0).count();
             self.m.measure_warm(now, warm, WARM);
         }
--- a/src/core.rs
+++ b/src/core.rs
@@ -301,7 +301,9 @@
             self.turn_away(id, 500.0);
             return id;
         }
-        let give_up = now + command.patience_ms;
+        // Guards memory: the deadline's timers live as long as it, whatever a client writes.
+        let longest = 1e3 * self.platform.module.classes[command.ask.class].deadline;
+        let give_up = now + command.patience_ms.min(longest);
         self.bytes += command.size();
         let command = Rc::new(command);
         let held = Held { command: command.clone(), give_up, answered: false, attempts: Vec::new() };
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -208,12 +208,15 @@
 pub struct Inventory {
     path: PathBuf,
     named: BTreeSet<InstanceId>,
+    /// What the last reading made drain, and what it found drained.
+    draining: BTreeSet<InstanceId>,
+    dropped: BTreeSet<InstanceId>,
 }
 
 impl Inventory {
     /// An inventory at a path; nothing is read yet.
     pub fn new(path: PathBuf) -> Inventory {
-        Inventory { path, named: BTreeSet::new() }
+        Inventory { path, named: BTreeSet::new(), draining: BTreeSet::new(), dropped: BTreeSet::new() }
     }
 
     /// The file.
@@ -221,6 +224,11 @@
         &self.path
     }
 
+    /// Whether an instance was named by the reading before the last and by none since.
+    pub fn dropped(&self, id: InstanceId) -> bool {
+        self.dropped.contains(&id)
+    }
+
     /// Reads the file into the table: what changes by it. Hosts that are no longer named drain.
     ///
     /// # Errors
@@ -245,7 +253,9 @@
             entries.push(HostEntry { host: id, zone, cell, state, size, started: 0.0 });
         }
         let named: BTreeSet<InstanceId> = entries.iter().map(|e| e.host).collect();
-        let drained = self.named.difference(&named).map(|id| HostEntry {
+        self.dropped = self.draining.difference(&named).copied().collect();
+        self.draining = self.named.difference(&named).copied().collect();
+        let drained = self.draining.iter().map(|id| HostEntry {
             host: *id,
             zone: 0,
             cell: 0,
--- a/src/name_table.rs
+++ b/src/name_table.rs
@@ -65,6 +65,7 @@
 pub struct NameTable {
     zones: Vec<String>,
     numbers: HashMap<String, InstanceId>,
+    next: InstanceId,
     instances: HashMap<InstanceId, Instance>,
     /// What the operator's inventory names, which discovery knows nothing of.
     inventory: Vec<HostEntry>,
@@ -81,10 +82,33 @@
         self.instances.get(&id)
     }
 
-    /// The number of an instance of this name: the same for as long as the program runs.
+    /// The number of an instance of this name: the same until it has left. No number is given twice.
     pub fn number(&mut self, name: &str) -> InstanceId {
-        let next = self.numbers.len() as InstanceId;
-        *self.numbers.entry(name.to_string()).or_insert(next)
+        if let Some(id) = self.numbers.get(name) {
+            return *id;
+        }
+        self.next += 1;
+        self.numbers.insert(name.to_string(), self.next);
+        self.next
+    }
+
+    /// Drops what is held of instances that have left. Guards memory: through a long day new ones come under new
+    /// names without end.
+    pub fn forget(&mut self, left: impl Fn(InstanceId) -> bool) {
+        let listed = |id: InstanceId| self.inventory.iter().any(|e| e.host == id);
+        self.numbers.retain(|_, id| listed(*id) || !left(*id));
+        let numbers: HashSet<InstanceId> = self.numbers.values().copied().collect();
+        self.instances.retain(|id, _| numbers.contains(id));
+    }
+
+    /// Instances held.
+    pub fn len(&self) -> usize {
+        self.numbers.len()
+    }
+
+    /// Whether none is held.
+    pub fn is_empty(&self) -> bool {
+        self.numbers.is_empty()
     }
 
     /// Puts an instance where it says it is.
@@ -120,7 +144,7 @@
         let mut entries = Vec::with_capacity(servers.len());
         for (i, server) in servers.iter().enumerate() {
             match self.entry(server) {
-                Ok(entry) => entries.push(entry),
+                Ok(entry) => entries.extend(entry),
                 Err(field) => log::warn!("discovery: servers[{i}].{field} makes no sense, entry left out"),
             }
         }
@@ -131,7 +155,8 @@
         Ok(News { kind: if full { ListKind::Full } else { ListKind::Delta }, version, entries })
     }
 
-    fn entry(&mut self, server: &Value) -> Result<HostEntry, &'static str> {
+    /// One entry; none: it has left and was never known.
+    fn entry(&mut self, server: &Value) -> Result<Option<HostEntry>, &'static str> {
         let text = |key: &'static str| server.get(key).and_then(Value::as_str).ok_or(key);
         let number = |key: &str, absent: f64| server.get(key).and_then(Value::as_f64).unwrap_or(absent);
         let state = match text("state")? {
@@ -140,25 +165,29 @@
             "left" => HostState::Gone,
             _ => return Err("state"),
         };
-        let id = self.number(text("id")?);
+        let name = text("id")?;
+        if state == HostState::Gone && !self.numbers.contains_key(name) {
+            return Ok(None);
+        }
+        let id = self.number(name);
         let speaks = match server.get("protocol").and_then(Value::as_str) {
             Some("http2") => Speaks::Http2,
             _ => Speaks::Resp,
         };
         match text("addr").and_then(|a| a.parse().map_err(|_| "addr")) {
-            Ok(addr) => self.place(id, Instance { name: text("id")?.to_string(), addr, speaks }),
+            Ok(addr) => self.place(id, Instance { name: name.to_string(), addr, speaks }),
             // What leaves needs no address.
             Err(field) if state == HostState::Ready => return Err(field),
             Err(_) => {}
         }
-        Ok(HostEntry {
+        Ok(Some(HostEntry {
             host: id,
             zone: server.get("zone").and_then(Value::as_str).map_or(0, |z| self.zone(z)),
             cell: number("cell", 0.0) as u32,
             state,
             size: number("weight", 1.0),
             started: number("started_ms", 0.0) / 1e3,
-        })
+        }))
     }
 }
 
@@ -260,7 +289,12 @@
     let version = news.version;
     hub.discovery_answered();
     if news.kind == ListKind::Full || !news.entries.is_empty() {
-        hub.with_core(|core, now| core.names(now, news.kind, news.entries));
+        let (kind, entries) = (news.kind, news.entries);
+        let ids =
+            |gone: bool| entries.iter().filter(move |e| (e.state == HostState::Gone) == gone).map(|e| e.host);
+        let (gone, named): (HashSet<_>, HashSet<_>) = (ids(true).collect(), ids(false).collect());
+        hub.with_core(|core, now| core.names(now, kind, entries));
+        hub.table().forget(|id| gone.contains(&id) || kind == ListKind::Full && !named.contains(&id));
     }
     Ok(version)
 }
@@ -280,7 +314,7 @@
             {"addr": "127.0.0.1:4", "state": "active"}
         ]});
         let news = table.take(&list).unwrap();
-        let want = HostEntry { host: 0, zone: 1, cell: 3, state: HostState::Ready, size: 1.5, started: 2.0 };
+        let want = HostEntry { host: 1, zone: 1, cell: 3, state: HostState::Ready, size: 1.5, started: 2.0 };
         assert_eq!((news.kind, news.version, news.entries), (ListKind::Full, 41, vec![want]));
         for bad in
             [serde_json::json!([]), serde_json::json!({"version": 1}), serde_json::json!({"servers": []})]
@@ -289,6 +323,22 @@
         }
     }
 
+    #[test]
+    fn what_has_left_is_forgotten_and_its_number_is_not_given_again() {
+        let mut table = NameTable::new(vec![]);
+        let mut numbers = HashSet::new();
+        for i in 0..1000 {
+            let server = |id: String, state: &str| serde_json::json!({"id": id, "addr": "127.0.0.1:1", "state": state});
+            let servers = [server(format!("s-{i}"), "active"), server(format!("s-{}", i - 1), "left")];
+            let news = table.take(&serde_json::json!({"version": i, "servers": servers})).unwrap();
+            let gone: HashSet<_> =
+                news.entries.iter().filter(|e| e.state == HostState::Gone).map(|e| e.host).collect();
+            assert!(numbers.insert(news.entries[0].host) && gone.len() == usize::from(i > 0));
+            table.forget(|id| gone.contains(&id));
+        }
+        assert_eq!((table.len(), table.instances.len()), (1, 1));
+    }
+
     #[test]
     fn a_whole_list_of_discoverys_does_not_end_what_the_inventory_names() {
         let mut table = NameTable::new(vec![]);
--- a/src/node.rs
+++ b/src/node.rs
@@ -199,6 +199,8 @@
         let loaded = inventory.load(&mut self.table());
         let entries = loaded.map_err(|e| StartError::Inventory(inventory.path().display().to_string(), e))?;
         self.with_core(|core, now| core.names(now, ListKind::Delta, entries));
+        // Those that drain are held until the next reading finds them gone from the list before.
+        self.table().forget(|id| inventory.dropped(id));
         Ok(())
     }
 
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -187,11 +187,11 @@
         });
     }
 
-    /// Closes the idle connections to an instance.
+    /// Closes the idle connections to an instance that gets no more commands, and forgets what was learnt of it.
     pub fn release(&self, instance: InstanceId) {
         if let Some(pool) = self.pools.borrow_mut().get_mut(&instance) {
             pool.idle.clear();
-            pool.shared = None;
+            (pool.shared, pool.cap) = (None, None);
         }
     }
 
@@ -256,9 +256,10 @@
         }
     }
 
-    fn keep(&self, now: f64, instance: InstanceId, link: Rc<Link>) {
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&instance) {
-            pool.idle.push(Idle { link, since: now });
+    /// Keeps a connection for the next command, unless there will be none.
+    fn keep(&self, hub: &Hub, instance: InstanceId, link: Rc<Link>) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&instance).filter(|_| hub.takes(instance)) {
+            pool.idle.push(Idle { link, since: hub.now() });
         }
     }
 }
@@ -461,7 +462,7 @@
         Some(end) => {
             // Anything behind the reply is nobody's: such a connection is not reused.
             if link.input.borrow().is_empty() {
-                hub.upstream().keep(hub.now(), attempt.instance, link);
+                hub.upstream().keep(hub, attempt.instance, link);
             }
             end
         }
@@ -541,7 +542,7 @@
     match answer.await {
         Some(result) => {
             if link.input.borrow().is_empty() {
-                hub.upstream().keep(hub.now(), instance, link);
+                hub.upstream().keep(hub, instance, link);
             }
             result
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -120,6 +120,16 @@
     assert!(wakes <= 24, "{wakes} wake-ups in 1.1 s");
 }
 
+#[test]
+fn no_client_names_a_wait_beyond_its_class() {
+    // Guards memory: timers live until the deadline, which a client could put an hour away.
+    let mut bed = Bed::new(1 << 20);
+    let terms = "c=fetch-episode,t=national,d=3600000,units=2,spread=1,first=0".to_string();
+    let command = Command::new(&bed.platform, "0000000000000007", "k", terms, None).unwrap();
+    bed.core.arrive(NOW, command);
+    assert_eq!(bed.started().until, NOW + 1200.0);
+}
+
 #[test]
 fn a_client_that_goes_ends_its_attempt() {
     let mut bed = Bed::new(1 << 20);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -405,6 +405,22 @@
     assert!(bed.gateway.customers() <= 20_000);
 }
 
+#[test]
+fn customers_that_come_once_are_forgotten_when_their_store_is_full_again() {
+    let mut bed = Bed::new(settings(), 2);
+    for customer in 0..2000 {
+        bed.now += 0.05;
+        let id = bed.ask(0, (customer % 2) as usize, customer, 1.0);
+        if let Some(&(name, amount)) = bed.counts().first() {
+            bed.tell(Event::Counted { name, outcome: Outcome::Ok, total: amount });
+        }
+        bed.end(id, 0, Outcome::Ok);
+        bed.tick(0.0);
+    }
+    // Windows of 2 s, three of them, at 10 new customers a second, and a second between two looks.
+    assert!((60..=80).contains(&bed.gateway.customers()), "{}", bed.gateway.customers());
+}
+
 #[test]
 fn a_host_that_fails_one_class_keeps_the_others() {
     let mut bed = Bed::new(settings(), 4);
