A block of one request is not refilled ahead

A probe logged what is known of the customer at each refusal by quota: most ask several times their quota, but their hands hold up to a request at each of 3 or 4 gateways beside a store of 8 to 12 units. At fault: balance.rs `ask` refilled a block of a single request as soon as it was half spent.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -454,7 +454,9 @@
             let most = if plan.ceiling_rate > 0.0 { HOARD / c.spread } else { 0.5 } * plan.burst;
             let block = (c.demand * BLOCK).max(c.units).max(1.0).min(most.max(c.units));
             let need: f64 = c.held.iter().map(|h| h.1).sum();
-            if need <= 0.0 && c.hand >= block / 2.0 || now < c.blocked_until {
+            // A block of one request is not refilled ahead: one at each gateway is most of a small store.
+            let ahead = c.demand * BLOCK >= c.units;
+            if need <= 0.0 && (!ahead || c.hand >= block / 2.0) || now < c.blocked_until {
                 return;
             }
             let avail = if c.known { c.avail(now, plan) } else { plan.burst };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -539,3 +539,25 @@
     }
     assert_eq!(sent, 0, "the reserve starts empty");
 }
+
+#[test]
+fn a_customer_that_asks_now_and_then_has_no_block_refilled_ahead() {
+    // Guards small stores: a request ahead at each of a few gateways is most of what they hold.
+    let mut bed = Bed::new(settings(), 4);
+    bed.ask(0, 1, 5, 1.0);
+    let (name, amount) = bed.counts()[0];
+    bed.tell(Event::Counted { name, outcome: Outcome::Ok, total: amount });
+    assert_eq!((bed.sends().len(), amount), (1, 2.0));
+    bed.now += 0.5;
+    assert_eq!((bed.ask_unit(5).len(), bed.counts()), (1, vec![]), "the block's second half, and no call");
+    // One that asks more in a block's time than one request has its block refilled before it is empty.
+    let (mut ahead, mut total) = (0, 0.0);
+    for _ in 0..12 {
+        let sent = bed.ask_unit(6).len();
+        if let Some(&(name, amount)) = bed.counts().first() {
+            (ahead, total) = (ahead + sent, total + amount);
+            bed.tell(Event::Counted { name, outcome: Outcome::Ok, total });
+        }
+    }
+    assert!(ahead > 0, "never refilled ahead");
+}
