Learn at which idle times connections to instances are found dead

Now idle times are noted by doublings, and those that are 3 points worse than new connections are not used again until it is forgotten. Ruled out: ends that a peek would have seen (915 were, and were not used).

--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to instances. It owns their pools (one attempt at a time on a connection, newest first, idle
-//! ones retired well before the instance would), the cap learnt from failed connects, and the word on
-//! whether an attempt may have run. It must never send an attempt again of its own accord, leave an
+//! ones retired well before the instance would, or sooner where they are found dead), the cap learnt from
+//! failed connects, and the word on whether an attempt may have run. It must never send an attempt again of its own accord, leave an
 //! abandoned attempt's connection open, or reuse one whose peer has closed it.
 
 use crate::api::Outcome;
@@ -28,6 +28,11 @@
 
 /// Share of the idle time in the settings after which a connection is retired.
 const RETIRE: f64 = 0.6;
+/// Share of dead connections at which they are not used again, beyond that of new ones; attempts that it takes
+/// to believe so; part of what is known that is kept each second.
+const MOST_DEAD: f64 = 0.03;
+const DOUBT: f64 = 20.0;
+const FADE: f64 = 0.95;
 /// A connection rests this long behind an answer, ms.
 const REST_MS: f64 = 2.0;
 /// Largest reply: value, figures and report.
@@ -37,6 +42,37 @@
 /// A learnt cap is lifted by one after each such span, ms.
 const LIFT_MS: f64 = 1000.0;
 
+/// How often a command met a dead connection, by how long it had been idle: what instances, or machines on the
+/// way, close without a word shows only in the next command, which may have run. The first place is for new
+/// connections, the others for idle times up to 8, 16, 32 ms and so on. Memory fades, so that it is tried again.
+#[derive(Default)]
+struct Ages {
+    tried: [f64; 13],
+    dead: [f64; 13],
+}
+
+impl Ages {
+    fn place(&self, idle_ms: Option<f64>) -> usize {
+        let doublings = |ms: f64| (ms.max(1.0).log2() as usize).saturating_sub(2) + 1;
+        idle_ms.map_or(0, doublings).min(self.tried.len() - 1)
+    }
+
+    fn note(&mut self, place: usize, dead: bool) {
+        self.tried[place] += 1.0;
+        self.dead[place] += f64::from(u8::from(dead));
+    }
+
+    fn fade(&mut self) {
+        self.tried.iter_mut().chain(&mut self.dead).for_each(|n| *n *= FADE);
+    }
+
+    /// Whether a connection that was idle for so long is worse than a new one. Older ones are no better.
+    fn stale(&self, place: usize) -> bool {
+        let share = |i: usize| self.dead[i] / (self.tried[i] + DOUBT);
+        (1..=place).any(|i| share(i) > share(0) + MOST_DEAD)
+    }
+}
+
 /// A place among the open connections, given back when dropped.
 struct Seat {
     all: Rc<Cell<usize>>,
@@ -64,6 +100,8 @@
     addr: SocketAddr,
     input: RefCell<Ring>,
     output: RefCell<Ring>,
+    /// Its place among the ages when it was last taken.
+    age: Cell<usize>,
     _seat: Seat,
 }
 
@@ -113,6 +151,7 @@
     pools: RefCell<HashMap<InstanceId, Pool>>,
     running: RefCell<HashMap<(CommandId, u32), Running>>,
     open: Rc<Cell<usize>>,
+    ages: RefCell<Ages>,
     budget: usize,
     retire_ms: f64,
     dial: Duration,
@@ -125,6 +164,7 @@
             pools: RefCell::default(),
             running: RefCell::default(),
             open: Rc::default(),
+            ages: RefCell::default(),
             budget,
             retire_ms: platform.idle_ms * RETIRE,
             dial: Duration::from_secs_f64(platform.dial_ms / 1e3),
@@ -197,6 +237,7 @@
 
     /// Retires connections that have been idle for long.
     pub fn sweep(&self, now: f64) {
+        self.ages.borrow_mut().fade();
         let mut pools = self.pools.borrow_mut();
         for pool in pools.values_mut() {
             pool.idle.retain(|idle| now - idle.since < self.retire_ms);
@@ -212,7 +253,9 @@
         // Guards against what may come right behind an answer: it must not meet the next command.
         while let Some(rested) = pool.idle.iter().rposition(|idle| now - idle.since >= REST_MS) {
             let idle = pool.idle.remove(rested);
-            if now - idle.since >= self.retire_ms {
+            let (ages, since) = (self.ages.borrow(), now - idle.since);
+            let age = ages.place(Some(since));
+            if since >= self.retire_ms || ages.stale(age) {
                 pool.idle.drain(..rested);
                 return None;
             }
@@ -222,6 +265,7 @@
             let quiet = socket2::SockRef::from(&idle.link.stream).peek(&mut [MaybeUninit::uninit(); 1]);
             let moved = idle.link.addr != addr;
             if !moved && quiet.is_err_and(|e| e.kind() == ErrorKind::WouldBlock) {
+                idle.link.age.set(age);
                 return Some(idle.link);
             }
         }
@@ -278,7 +322,7 @@
         Ok(Ok(stream)) => {
             let _ = stream.set_nodelay(true);
             let (input, output) = (Ring::new(MOST_REPLY).into(), Ring::new(MOST_REPLY).into());
-            Some(Rc::new(Link { stream, addr, input, output, _seat: seat }))
+            Some(Rc::new(Link { stream, addr, input, output, age: Cell::new(0), _seat: seat }))
         }
         _ => {
             upstream.refused(hub.now(), instance);
@@ -458,6 +502,8 @@
     }
     let end = read(&link, hub.upstream().dial, |reply| ending(hub.platform(), reply)).await;
     held.borrow_mut().take();
+    let unheard = end.is_none() && link.input.borrow().is_empty();
+    hub.upstream().ages.borrow_mut().note(link.age.get(), unheard);
     match end {
         Some(end) => {
             // Anything behind the reply is nobody's: such a connection is not reused.
@@ -566,3 +612,24 @@
         _ => (Outcome::Error, Vec::new()),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn idle_times_at_which_connections_are_found_dead_are_learnt_and_forgotten() {
+        let mut ages = Ages::default();
+        let [new, young, middle, old] = [None, Some(5.0), Some(150.0), Some(5000.0)].map(|a| ages.place(a));
+        assert!(new == 0 && young < middle && middle < old && old < ages.tried.len());
+        for i in 0..100 {
+            // As many new ones fail as young ones; a third of those that were idle for longer.
+            ages.note(new, i % 20 == 0);
+            ages.note(young, i % 20 == 0);
+            ages.note(middle, i % 3 == 0);
+        }
+        assert_eq!([young, middle, old].map(|age| ages.stale(age)), [false, true, true]);
+        (0..100).for_each(|_| ages.fade());
+        assert!(!ages.stale(middle), "tried again");
+    }
+}
