Calls that may have counted are judged by the next total; lent units are counted

At fault: balance.rs counted (a time-out's amount was held to be used up) and settle (units lent by the share never reached the counter), counter.rs broke (a break told as a time-out).

--- a/src/api.rs
+++ b/src/api.rs
@@ -281,7 +281,7 @@
     Counted {
         /// The name.
         name: u64,
-        /// How; after a time-out the amount may have been added, after an error it was.
+        /// How; after a time-out or a reset the amount may have been added, after an error it was.
         outcome: Outcome,
         /// Total after the call, when it is ok.
         total: f64,
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -342,17 +342,18 @@
         let Some(c) = self.m.customers.get_mut(&id) else { return };
         let plan = &self.set.plans[c.plan];
         let (mut served, mut left) = (Vec::new(), Vec::new());
+        let alone = c.window as f64 * plan.window(1.0) < self.m.outage_at;
         for (request, units) in std::mem::take(&mut c.held) {
-            if c.hand >= units {
-                c.hand -= units;
-            } else if !(failed && c.take_share(units, plan)) {
+            // What the share lends while the counter goes on is counted by the next call.
+            let lent = c.hand < units && failed && c.take_share(units, plan);
+            if c.hand < units && !lent {
                 left.push((request, units));
                 continue;
             }
+            c.hand -= if lent && alone { 0.0 } else { units };
             served.push(request);
         }
         c.held = left;
-        let alone = c.window as f64 * plan.window(1.0) < self.m.outage_at;
         if !failed {
             self.ask(now, id, alone, actions);
         }
@@ -501,14 +502,15 @@
             return self.tally(now, id, window, (!failed).then_some(total), actions);
         }
         if failed {
-            if outcome == Outcome::Error && window == c.window {
-                // Added, but the total was spoilt: the next one tells what it grants, at once as a rule.
-                c.lost += amount;
-                if self.m.call_fails < SILENT {
-                    return self.settle(now, id, false, actions);
-                }
-            } else if outcome == Outcome::Timeout && amount > 0.0 && window == c.window {
-                c.total += amount;
+            let (added, may_be) =
+                (outcome == Outcome::Error, !matches!(outcome, Outcome::Full | Outcome::ConnectFailed));
+            if window == c.window {
+                c.lost += if added { amount } else { 0.0 };
+                c.unsure += if may_be && !added { amount.max(0.0) } else { 0.0 };
+            }
+            // Spoilt or broken off, not silent: the next total tells what it grants, at once as a rule.
+            if matches!(outcome, Outcome::Error | Outcome::Reset) && self.m.call_fails < SILENT {
+                return self.settle(now, id, false, actions);
             }
             c.blocked_until = now + 0.1;
             return self.settle(now, id, true, actions);
@@ -517,6 +519,12 @@
             c.read_last = false;
             c.carry = (c.allowed_last - total).clamp(0.0, plan.burst);
         } else if window == c.window {
+            // What may have been added was, if the total has grown by just that since.
+            let unsure = std::mem::take(&mut c.unsure);
+            let grown = total - amount - c.lost - c.total;
+            if unsure > 0.0 && (grown - unsure).abs() < 1e-5 * (1.0 + total) {
+                c.lost += unsure;
+            }
             amount += std::mem::take(&mut c.lost);
             if total < c.own + amount - 0.01 * (1.0 + c.own) {
                 // Totals went back: the counter came back empty. Grants of this window may be given again.
@@ -554,7 +562,7 @@
         let Some(&(id, window, _)) = self.m.calls.get(&name) else { return };
         let Some(c) = self.m.customers.get_mut(&id).filter(|c| !c.thin && c.window == window) else { return };
         c.lost += amount;
-        c.total -= amount.max(0.0);
+        c.unsure = (c.unsure - amount.max(0.0)).max(0.0);
         if c.in_flight.is_none() {
             c.in_flight = Some((0.0, window));
             self.counted(now, name, Outcome::Ok, total, actions);
@@ -916,7 +924,8 @@
             self.hand = self.hand.min(0.0);
         }
         self.window = window;
-        (self.total, self.own, self.lost, self.known_at, self.blocked_until) = (0.0, 0.0, 0.0, now, 0.0);
+        (self.total, self.own, self.lost, self.unsure) = (0.0, 0.0, 0.0, 0.0);
+        (self.known_at, self.blocked_until) = (now, 0.0);
     }
 
     /// This gateway's even share of rate and burst, where the counter is no help.
@@ -933,7 +942,7 @@
     /// Units in the plan's store by the last total: they come in evenly, never more than the burst.
     fn avail(&self, now: f64, plan: &Plan) -> f64 {
         let elapsed = now - self.window as f64 * plan.window(1.0);
-        (self.carry + plan.rate * elapsed - self.total).min(plan.burst)
+        (self.carry + plan.rate * elapsed - self.total - self.unsure).min(plan.burst)
     }
 }
 
--- a/src/counter.rs
+++ b/src/counter.rs
@@ -234,8 +234,8 @@
     /// Calls still in the ring were not written whole, but telling which would gain little: they "may have".
     fn broke(&mut self) -> Vec<(u64, Outcome)> {
         (self.stream, self.output) = (None, None);
-        let first = if std::mem::take(&mut self.begun) { Outcome::Error } else { Outcome::Timeout };
-        let outcomes = std::iter::once(first).chain(std::iter::repeat(Outcome::Timeout));
+        let first = if std::mem::take(&mut self.begun) { Outcome::Error } else { Outcome::Reset };
+        let outcomes = std::iter::once(first).chain(std::iter::repeat(Outcome::Reset));
         let ended = self.written.drain(..).zip(outcomes).filter(|(c, _)| !c.told);
         ended.map(|(c, outcome)| (c.add.name, outcome)).collect()
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,6 +111,8 @@
     pub(crate) in_flight: Option<(f64, i64)>,
     /// Added in this window by calls whose totals could not be read: the next total grants them too.
     pub(crate) lost: f64,
+    /// Added in this window by calls that broke off or were not answered in time, or not added.
+    pub(crate) unsure: f64,
     pub(crate) blocked_until: f64,
     pub(crate) demand: f64,
     pub(crate) units: f64,
