Workspace, a hub that knows none of its parts, clap, driftgap check, tracing

Counter, front, name table, upstream and node imported each other through node::Hub, so no part could be read alone, and the log held sentences with numbers that no tool can read.

Hub is a module of its own with what all parts share and two traits (ServiceClient, Network); discovery's polls leave the name table; node starts and stops.

No decision changed.

--- a/src/counter.rs
+++ b/src/counter.rs
@@ -6,7 +6,7 @@
 
 use crate::api::Outcome;
 use crate::facade::Add;
-use crate::node::Hub;
+use crate::hub::Hub;
 use crate::ring::Ring;
 use crate::wire::{http_answer, Parsed};
 use std::cell::{Cell, RefCell};
--- a/src/front/http2.rs
+++ b/src/front/http2.rs
@@ -4,9 +4,8 @@
 //! reset means that the service client has gone. One rule of the house is given up here: h2 keeps its own
 //! buffers, so a connection has no ring; the bounds below take its place.
 
-use super::ServiceClient;
 use crate::core::{Answer, BadCommand, Command};
-use crate::node::Hub;
+use crate::hub::{Hub, ServiceClient};
 use crate::wire::MOST_VALUE;
 use crate::wire_http2::{plain, push_body, terms, text, wording, COMMANDS, CUSTOMER, ID};
 use bytes::Bytes;
@@ -85,7 +84,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => self.open(stream),
                 Err(e) => {
-                    log::warn!("accept: {e}");
+                    tracing::warn!(error = %e, "accept");
                     self.shed();
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
@@ -109,7 +108,7 @@
         spawn_local(async move {
             let _ = stream.set_nodelay(true);
             if let Err(e) = serve(&front, &connection, stream).await {
-                log::debug!("http2 client: {e}");
+                tracing::debug!(error = %e, "http2 client");
             }
             front.connections.borrow_mut().remove(&number);
         });
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -2,10 +2,10 @@
 //! one ring a direction, and the order of pipelined answers. It must never answer a command twice or out of
 //! turn, read on while too many are unanswered, or decide about a command.
 
-use super::{advice, ServiceClient, Unsent};
+use super::advice;
 use crate::core::{Answer, Command};
 use crate::facade::CommandId;
-use crate::node::Hub;
+use crate::hub::{Hub, ServiceClient, Unsent};
 use crate::ring::Ring;
 use crate::wire::{command_words, platform_command, Parsed, MOST_VALUE};
 use std::cell::{Cell, RefCell};
@@ -91,7 +91,7 @@
                 Ok((stream, _)) => self.open(stream),
                 // Out of descriptors, or the client is gone already.
                 Err(e) => {
-                    log::warn!("accept: {e}");
+                    tracing::warn!(error = %e, "accept");
                     self.shed();
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
@@ -294,7 +294,7 @@
             match platform_command(hub.platform(), verb == b"SVC.QUERY", &words[1..]) {
                 Ok(command) => Wanted::Command(Box::new(command)),
                 Err(problem) => {
-                    log::debug!("command: {problem}");
+                    tracing::debug!(%problem, "no command");
                     Wanted::Words(b"-ERR failed: the command makes no sense\r\n")
                 }
             }
--- /dev/null
+++ b/src/hub.rs
@@ -0,0 +1,252 @@
+//! What all parts of the ingress share: the clock, the settings, the core with its commands, the name table, and
+//! who is owed which answer. It owns the way of effects out of the core (answers to their service clients, all
+//! else to the [`Network`]) and of news into it. It must never know a wire, a socket or a task, decide about a
+//! command, or hold the core while somebody else runs: the parts know the hub, and it knows none of them.
+
+use crate::clock::Clock;
+use crate::core::{Answer, Command, Core, Effect, Tally};
+use crate::facade::{CommandId, Facade, InstanceId};
+use crate::name_table::NameTable;
+use crate::plugin::{Plugin, Wish};
+use crate::settings::{Config, Platform};
+use std::cell::{Cell, OnceCell, RefCell, RefMut};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+
+/// Without a word from discovery, the last known list serves after this long, ms.
+const ALONE_MS: f64 = 300.0;
+
+/// Who carries out what the core wants done, answers to service clients apart. Called without the core held,
+/// so that it may bring news at once.
+pub trait Network {
+    /// Carries out one effect, in the order given.
+    fn carry_out(&self, effect: Effect);
+}
+
+/// One end of a front that is owed answers; `ticket` is the front's own mark for one command.
+pub trait ServiceClient {
+    /// Gives it the one final answer to a command.
+    fn answer(&self, ticket: u64, answer: Answer);
+}
+
+/// What one client has not read yet, out of what all clients together may leave unread. Guards memory against
+/// clients that ask for much and read nothing: a cap for each of many connections is no bound.
+pub struct Unsent {
+    all: Rc<Cell<usize>>,
+    most: usize,
+    mine: Cell<usize>,
+}
+
+impl Unsent {
+    /// Nothing yet; `all` is shared by all clients.
+    pub fn new(all: Rc<Cell<usize>>, most: usize) -> Unsent {
+        Unsent { all, most, mine: Cell::new(0) }
+    }
+
+    /// Notes bytes that wait to be sent; false: there are too many, and this client is to be cut off.
+    pub fn add(&self, bytes: usize) -> bool {
+        self.mine.set(self.mine.get() + bytes);
+        self.all.set(self.all.get() + bytes);
+        self.all.get() <= self.most
+    }
+
+    /// Notes bytes that were sent.
+    pub fn sent(&self, bytes: usize) {
+        let bytes = bytes.min(self.mine.get());
+        self.mine.set(self.mine.get() - bytes);
+        self.all.set(self.all.get() - bytes);
+    }
+}
+
+impl Drop for Unsent {
+    fn drop(&mut self) {
+        self.sent(usize::MAX);
+    }
+}
+
+/// Who is owed an answer, and its mark for the command.
+type Owed = (Rc<dyn ServiceClient>, u64);
+
+/// What all tasks share.
+pub struct Hub {
+    clock: Clock,
+    platform: Rc<Platform>,
+    core: RefCell<Core>,
+    table: RefCell<NameTable>,
+    /// Who carries effects out. Set once at the start; weak, since it holds the hub.
+    network: OnceCell<Weak<dyn Network>>,
+    clients: RefCell<HashMap<CommandId, Owed>>,
+    plugin: Option<Plugin>,
+    unsent: Rc<Cell<usize>>,
+    most_unsent: usize,
+    pumping: Cell<bool>,
+    started: f64,
+    answered: Cell<bool>,
+}
+
+impl Hub {
+    /// The shared state of an ingress with this configuration.
+    ///
+    /// # Errors
+    /// Settings that make no sense.
+    pub fn new(
+        config: &Config,
+        plugin: Option<Plugin>,
+        clock: Clock,
+    ) -> Result<Rc<Hub>, crate::api::SettingsError> {
+        let platform = Rc::new(config.platform.clone());
+        let facade = Facade::new(platform.module.clone(), config.seed)?;
+        let most_bytes = (config.memory_mb * 1e6 / 3.0) as usize;
+        Ok(Rc::new(Hub {
+            started: clock.now(),
+            core: Core::new(platform.clone(), facade, most_bytes).into(),
+            table: NameTable::new(platform.zones.clone()).into(),
+            network: OnceCell::new(),
+            clients: RefCell::default(),
+            pumping: Cell::new(false),
+            // Without discovery, what is known is all there is.
+            answered: Cell::new(config.discovery.is_none()),
+            plugin,
+            unsent: Rc::default(),
+            most_unsent: most_bytes / 2,
+            platform,
+            clock,
+        }))
+    }
+
+    /// The time.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
+    /// The settings.
+    pub fn platform(&self) -> &Platform {
+        &self.platform
+    }
+
+    /// The name table.
+    pub fn table(&self) -> RefMut<'_, NameTable> {
+        self.table.borrow_mut()
+    }
+
+    /// Names who carries effects out from now on; the first one named stays.
+    pub fn carried_by(&self, network: &Rc<dyn Network>) {
+        let _ = self.network.set(Rc::downgrade(network));
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// Discovery has answered: the list is as good as it gets.
+    pub fn discovery_answered(&self) {
+        self.answered.set(true);
+    }
+
+    /// A new client's part of what clients may leave unread.
+    pub fn unsent(&self) -> Unsent {
+        Unsent::new(self.unsent.clone(), self.most_unsent)
+    }
+
+    /// When [`Core::tick`] must be called at the latest.
+    pub fn next_due(&self) -> Option<f64> {
+        self.core.borrow_mut().next_due()
+    }
+
+    /// Commands so far, and those that are owed an answer.
+    pub fn figures(&self) -> (Tally, usize) {
+        let core = self.core.borrow();
+        (core.tally(), core.owed())
+    }
+
+    /// Whether commands can be served.
+    pub fn can_serve(&self) -> bool {
+        let told = self.answered.get() || self.now() - self.started > ALONE_MS;
+        told && self.core.borrow().instances() > 0
+    }
+
+    /// Lets the core act, then carries out what it wants done.
+    pub fn with_core(&self, act: impl FnOnce(&mut Core, f64)) {
+        act(&mut self.core.borrow_mut(), self.clock.now());
+        self.pump();
+    }
+
+    /// Whether an instance may be sent commands right now: asked again just before a command is written, since
+    /// the name table may have changed while its connection came up.
+    pub fn takes(&self, instance: InstanceId) -> bool {
+        self.core.borrow().takes(instance)
+    }
+
+    /// Takes a command; `known` hears its number before any answer can come.
+    pub fn arrive(
+        &self,
+        mut command: Command,
+        client: Rc<dyn ServiceClient>,
+        ticket: u64,
+        known: impl FnOnce(CommandId),
+    ) {
+        let now = self.clock.now();
+        let wish = self.plugin.as_ref().map(|plugin| plugin.decide(now, &self.platform, &command));
+        let id = match wish {
+            Some(Wish::Nack(after_ms)) => self.core.borrow_mut().refuse(after_ms),
+            wish => {
+                if let Some(Wish::Pass(notes)) = wish.filter(|w| *w != Wish::Pass(Vec::new())) {
+                    tracing::debug!(id = command.id, ?notes, "notes of the plug-in");
+                    command.notes = notes;
+                }
+                self.core.borrow_mut().arrive(now, command)
+            }
+        };
+        self.clients.borrow_mut().insert(id, (client, ticket));
+        known(id);
+        self.pump();
+    }
+
+    /// A service client is gone.
+    pub fn client_gone(&self, id: CommandId) {
+        self.clients.borrow_mut().remove(&id);
+        self.with_core(|core, now| core.client_gone(now, id));
+    }
+
+    fn pump(&self) {
+        if self.pumping.replace(true) {
+            return;
+        }
+        loop {
+            let effect = self.core.borrow_mut().next_effect();
+            match effect {
+                Some(Effect::Reply(id, answer)) => {
+                    let client = self.clients.borrow_mut().remove(&id);
+                    if let Some((client, ticket)) = client {
+                        client.answer(ticket, answer);
+                    }
+                }
+                Some(effect) => {
+                    // Without a network, as before the start is done, what was asked for has no effect.
+                    if let Some(network) = self.network.get().and_then(Weak::upgrade) {
+                        network.carry_out(effect);
+                    }
+                }
+                None => break,
+            }
+        }
+        self.pumping.set(false);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_clients_leave_unread_is_bounded_over_all_of_them() {
+        let all = Rc::default();
+        let (a, b) = (Unsent::new(Rc::clone(&all), 100), Unsent::new(Rc::clone(&all), 100));
+        assert!(a.add(60) && b.add(40) && !b.add(1));
+        a.sent(30);
+        assert!(b.add(10) && !b.add(60));
+        drop(b);
+        assert_eq!(all.get(), 30);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -100,12 +100,16 @@
 
 mod api;
 mod balance;
+pub mod check;
 pub mod clock;
 pub mod core;
 pub mod counter;
+pub mod discovery;
 pub mod facade;
 pub mod front;
+pub mod hub;
 pub mod inventory;
+pub mod logging;
 pub mod name_table;
 pub mod node;
 pub mod operator;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,30 +1,64 @@
-//! The real ingress: reads what it is told, serves until it is stopped. It owns the process (arguments,
-//! environment, exit code) and nothing else.
+//! The real ingress: reads what it is told, serves until it is stopped, or checks what it would read. It owns
+//! the process (arguments, environment, exit code) and nothing else.
 
+use clap::{Parser, Subcommand};
+use driftgap::check;
+use driftgap::logging::{self, LogFormat};
 use driftgap::node::{self, Signals};
 use driftgap::operator::Operator;
 use driftgap::settings::Config;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-async fn start() -> Result<(), String> {
+/// An ingress for a service sold by plan: admission, quota, routing and retries.
+///
+/// Without a sub-command it serves.
+#[derive(Debug, Parser)]
+#[command(name = "driftgap", version)]
+struct Line {
+    /// The platform's configuration (JSON).
+    #[arg(long, env = "EDGE_CONFIG", global = true, hide_env_values = true)]
+    config: Option<PathBuf>,
+    /// The operator's file (TOML).
+    #[arg(long, env = "DRIFTGAP_OPERATOR", global = true, hide_env_values = true)]
+    operator: Option<PathBuf>,
+    /// How log lines look.
+    #[arg(long, env = "DRIFTGAP_LOG_FORMAT", global = true, default_value = "text", hide_env_values = true)]
+    log_format: LogFormat,
+    #[command(subcommand)]
+    task: Option<Task>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Task {
+    /// Serves until SIGTERM or SIGINT; as without a sub-command.
+    Serve,
+    /// Reads all that `serve` would read; one line a fault, and status 2 if there is one.
+    Check,
+}
+
+async fn start(config: Option<PathBuf>, operator: Option<PathBuf>) -> Result<(), String> {
     // First of all: a SIGHUP that comes while the files are read must not end the program.
     let signals = Signals::listen().map_err(|e| e.to_string())?;
-    let path = std::env::var_os("EDGE_CONFIG").map(PathBuf::from).ok_or("EDGE_CONFIG: not set")?;
+    let path = config.ok_or("EDGE_CONFIG: not set")?;
     let config = Config::read(&path).map_err(|e| format!("EDGE_CONFIG: {e}"))?;
-    let operator = match std::env::var_os("DRIFTGAP_OPERATOR").map(PathBuf::from) {
+    let operator = match operator {
         Some(path) => Operator::read(&path).map_err(|e| format!("{}: {e}", path.display()))?,
         None => Operator::default(),
     };
     node::run(signals, path, config, operator).await.map_err(|e| e.to_string())
 }
 
-fn main() -> ExitCode {
-    let level = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(level).target(env_logger::Target::Stderr).init();
+fn serve(line: Line) -> ExitCode {
+    if let Err(e) = logging::start(line.log_format) {
+        eprintln!("driftgap: no log: {e}");
+    }
     // A local runtime, not a LocalSet: the latter writes to its own wake-up descriptor for each task it wakes.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build_local(Default::default());
-    match runtime.map_err(|e| e.to_string()).and_then(|runtime| runtime.block_on(start())) {
+    let served = runtime
+        .map_err(|e| e.to_string())
+        .and_then(|runtime| runtime.block_on(start(line.config, line.operator)));
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("driftgap: {problem}");
@@ -32,3 +66,20 @@
         }
     }
 }
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    match line.task {
+        None | Some(Task::Serve) => serve(line),
+        Some(Task::Check) => {
+            let faults = check::faults(line.config.as_deref(), line.operator.as_deref());
+            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            if faults.is_empty() {
+                println!("ok");
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(2)
+            }
+        }
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,23 +1,20 @@
-//! The program round the core: it owns the event loop's shared state, carries the core's effects to the
-//! network and the network's news to the core, runs the timer, and steps through start and drain. It must
-//! never decide about a command, nor hold the core while it touches a socket.
+//! Start and stop of the program: it owns the order in which its parts come up, the timer, what is read again
+//! while it runs, and the drain. It must never decide about a command, nor be needed by any of the parts.
 
 use crate::api::ListKind;
 use crate::clock::Clock;
-use crate::core::{Command, Core, Effect};
+use crate::core::Effect;
 use crate::counter::{Counter, LANES};
-use crate::facade::{CommandId, Facade, InstanceId};
+use crate::discovery::follow;
 use crate::front::http2::Http2Front;
 use crate::front::resp::RespFront;
-use crate::front::{ServiceClient, Unsent};
+use crate::hub::{Hub, Network};
 use crate::inventory::{Inventory, InventoryError};
-use crate::name_table::{follow, NameTable};
 use crate::operator::Operator;
-use crate::plugin::{Plugin, PluginError, Wish};
-use crate::settings::{Config, Platform};
+use crate::plugin::{Plugin, PluginError};
+use crate::settings::Config;
 use crate::upstream::Upstream;
-use std::cell::{Cell, RefCell, RefMut};
-use std::collections::HashMap;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -28,8 +25,6 @@
 
 /// Longest between two looks at the timers, ms; the module's own tick is as long.
 const LOOK_MS: f64 = 50.0;
-/// Without a word from discovery, the last known list serves after this long, ms.
-const ALONE_MS: f64 = 300.0;
 /// How long new connections are accepted after SIGTERM, ms.
 const ACCEPT_MS: f64 = 500.0;
 /// The longest deadline counts as this at most when the program is stopped, ms; and what comes on top.
@@ -62,145 +57,47 @@
     System(#[from] std::io::Error),
 }
 
-/// Who is owed an answer, and its mark for the command.
-type Owed = (Rc<dyn ServiceClient>, u64);
-
-/// What all tasks share.
-pub struct Hub {
-    clock: Clock,
-    platform: Rc<Platform>,
-    core: RefCell<Core>,
-    table: RefCell<NameTable>,
-    upstream: Upstream,
+/// The parts that need a start and a stop, round the hub.
+struct Node {
+    hub: Rc<Hub>,
+    upstream: Rc<Upstream>,
     counter: Counter,
     /// Who tells the name table, and the task that follows it.
     agent: RefCell<Option<(SocketAddr, AbortHandle)>>,
-    clients: RefCell<HashMap<CommandId, Owed>>,
-    plugin: Option<Plugin>,
-    unsent: Rc<Cell<usize>>,
-    most_unsent: usize,
-    pumping: Cell<bool>,
-    started: f64,
-    answered: Cell<bool>,
-    me: std::rc::Weak<Hub>,
 }
 
-impl Hub {
-    /// The shared state of an ingress with this configuration.
-    ///
-    /// # Errors
-    /// Settings that make no sense.
-    pub fn new(config: &Config, plugin: Option<Plugin>, clock: Clock) -> Result<Rc<Hub>, StartError> {
-        let platform = Rc::new(config.platform.clone());
-        let facade = Facade::new(platform.module.clone(), config.seed)?;
-        let most_bytes = (config.memory_mb * 1e6 / 3.0) as usize;
-        let instances = config.sockets.saturating_sub(OTHERS) * 2 / 5;
-        Ok(Rc::new_cyclic(|me| Hub {
-            started: clock.now(),
-            core: Core::new(platform.clone(), facade, most_bytes).into(),
-            table: NameTable::new(platform.zones.clone()).into(),
-            upstream: Upstream::new(&platform, instances),
-            counter: Counter::new(config.counter, platform.count_wait_ms),
-            agent: RefCell::default(),
-            clients: RefCell::default(),
-            pumping: Cell::new(false),
-            // Without discovery, what is known is all there is.
-            answered: Cell::new(config.discovery.is_none()),
-            plugin,
-            unsent: Rc::default(),
-            most_unsent: most_bytes / 2,
-            me: me.clone(),
-            platform,
-            clock,
-        }))
-    }
-
-    /// The time.
-    pub fn now(&self) -> f64 {
-        self.clock.now()
-    }
-
-    /// The settings.
-    pub fn platform(&self) -> &Platform {
-        &self.platform
-    }
-
-    /// The name table.
-    pub fn table(&self) -> RefMut<'_, NameTable> {
-        self.table.borrow_mut()
-    }
-
-    /// The connections to instances.
-    pub fn upstream(&self) -> &Upstream {
-        &self.upstream
-    }
-
-    /// Discovery has answered: the list is as good as it gets.
-    pub fn discovery_answered(&self) {
-        self.answered.set(true);
-    }
-
-    /// A new client's part of what clients may leave unread.
-    pub fn unsent(&self) -> Unsent {
-        Unsent::new(self.unsent.clone(), self.most_unsent)
-    }
-
-    /// Whether commands can be served.
-    pub fn can_serve(&self) -> bool {
-        let told = self.answered.get() || self.now() - self.started > ALONE_MS;
-        told && self.core.borrow().instances() > 0
-    }
-
-    /// Lets the core act, then carries out what it wants done.
-    pub fn with_core(&self, act: impl FnOnce(&mut Core, f64)) {
-        act(&mut self.core.borrow_mut(), self.clock.now());
-        self.pump();
-    }
-
-    /// Whether an instance may be sent commands right now: asked again just before a command is written, since
-    /// the name table may have changed while its connection came up.
-    pub fn takes(&self, instance: InstanceId) -> bool {
-        self.core.borrow().takes(instance)
-    }
-
-    /// Takes a command; `known` hears its number before any answer can come.
-    pub fn arrive(
-        &self,
-        mut command: Command,
-        client: Rc<dyn ServiceClient>,
-        ticket: u64,
-        known: impl FnOnce(CommandId),
-    ) {
-        let now = self.clock.now();
-        let wish = self.plugin.as_ref().map(|plugin| plugin.decide(now, &self.platform, &command));
-        let id = match wish {
-            Some(Wish::Nack(after_ms)) => self.core.borrow_mut().refuse(after_ms),
-            wish => {
-                if let Some(Wish::Pass(notes)) = wish.filter(|w| *w != Wish::Pass(Vec::new())) {
-                    log::debug!("command {}: {notes:?}", command.id);
-                    command.notes = notes;
-                }
-                self.core.borrow_mut().arrive(now, command)
-            }
-        };
-        self.clients.borrow_mut().insert(id, (client, ticket));
-        known(id);
-        self.pump();
+impl Network for Node {
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Start(attempt) => self.upstream.start(attempt),
+            Effect::Abandon(id, attempt) => self.upstream.abandon(id, attempt),
+            Effect::Probe(instance) => self.upstream.probe(instance),
+            Effect::Release(instance) => self.upstream.release(instance),
+            Effect::Count(add) => self.counter.add(&self.hub, add),
+            // The hub gives answers itself.
+            Effect::Reply(..) => {}
+        }
     }
+}
 
-    /// A service client is gone.
-    pub fn client_gone(&self, id: CommandId) {
-        self.clients.borrow_mut().remove(&id);
-        self.with_core(|core, now| core.client_gone(now, id));
+impl Node {
+    fn new(config: &Config, hub: Rc<Hub>) -> Rc<Node> {
+        let instances = config.sockets.saturating_sub(OTHERS) * 2 / 5;
+        let upstream = Upstream::new(hub.clone(), instances);
+        let counter = Counter::new(config.counter, hub.platform().count_wait_ms);
+        let node = Rc::new(Node { hub, upstream, counter, agent: RefCell::default() });
+        let network: Rc<dyn Network> = node.clone();
+        node.hub.carried_by(&network);
+        node
     }
 
     /// Reads the inventory into the name table and tells the core what changed.
     fn load(&self, inventory: &mut Inventory) -> Result<(), StartError> {
-        let loaded = inventory.load(&mut self.table());
+        let loaded = inventory.load(&mut self.hub.table());
         let entries = loaded.map_err(|e| StartError::Inventory(inventory.path().display().to_string(), e))?;
-        self.with_core(|core, now| core.names(now, ListKind::Delta, entries));
+        self.hub.with_core(|core, now| core.names(now, ListKind::Delta, entries));
         // Those that drain are held until the next reading finds them gone from the list before.
-        self.table().forget(|id| inventory.dropped(id));
+        self.hub.table().forget(|id| inventory.dropped(id));
         Ok(())
     }
 
@@ -209,7 +106,7 @@
         if self.agent.borrow().as_ref().map(|(addr, _)| *addr) == agent {
             return;
         }
-        let task = agent.map(|addr| (addr, spawn_local(follow(self.clone(), addr)).abort_handle()));
+        let task = agent.map(|addr| (addr, spawn_local(follow(self.hub.clone(), addr)).abort_handle()));
         if let Some((_, old)) = self.agent.replace(task) {
             old.abort();
         }
@@ -220,60 +117,37 @@
     fn reload(self: &Rc<Self>, path: &Path, held: &mut Config) {
         let mut config = match Config::read(path) {
             Ok(config) => config,
-            Err(e) => return log::error!("EDGE_CONFIG: {e}; the old configuration stays"),
+            Err(e) => {
+                return tracing::error!(error = %e, "EDGE_CONFIG makes no sense; the old configuration stays")
+            }
         };
         self.follow(config.discovery);
-        self.counter.move_to(self, config.counter);
+        self.counter.move_to(&self.hub, config.counter);
         let fixed = held.fixed_but_changed(&config);
         if !fixed.is_empty() {
-            log::warn!("configuration: {} changed, which takes a restart", fixed.join(", "));
+            tracing::warn!(fields = fixed.join(", "), "configuration changed where it takes a restart");
         }
-        log::info!(
-            "configuration read again: discovery {:?}, counter {:?}",
-            config.discovery,
-            config.counter
+        tracing::info!(
+            discovery = config.discovery.map(tracing::field::display),
+            counter = config.counter.map(tracing::field::display),
+            "configuration read again"
         );
         config.known = serde_json::Value::Null;
         *held = config;
     }
 
-    fn pump(&self) {
-        let Some(me) = self.me.upgrade() else { return };
-        if self.pumping.replace(true) {
-            return;
-        }
-        loop {
-            let effect = self.core.borrow_mut().next_effect();
-            match effect {
-                Some(Effect::Reply(id, answer)) => {
-                    let client = self.clients.borrow_mut().remove(&id);
-                    if let Some((client, ticket)) = client {
-                        client.answer(ticket, answer);
-                    }
-                }
-                Some(Effect::Start(attempt)) => self.upstream.start(&me, attempt),
-                Some(Effect::Abandon(id, attempt)) => self.upstream.abandon(id, attempt),
-                Some(Effect::Probe(instance)) => self.upstream.probe(&me, instance),
-                Some(Effect::Release(instance)) => self.upstream.release(instance),
-                Some(Effect::Count(add)) => self.counter.add(&me, add),
-                None => break,
-            }
-        }
-        self.pumping.set(false);
-    }
-
     /// Looks after everything that comes due with time.
     async fn keep_time(self: Rc<Self>) {
-        let (mut swept, mut logged) = (self.now(), self.now());
+        let (mut swept, mut logged) = (self.hub.now(), self.hub.now());
         loop {
-            let now = self.now();
-            let core = self.core.borrow_mut().next_due();
+            let now = self.hub.now();
+            let core = self.hub.next_due();
             let counter = self.counter.next_due();
             let due = core.into_iter().chain(counter).fold(now + LOOK_MS, f64::min);
-            tokio::time::sleep_until(self.clock.instant(due).into()).await;
-            self.with_core(|core, now| core.tick(now));
-            let now = self.now();
-            self.counter.expire(&self, now);
+            tokio::time::sleep_until(self.hub.clock().instant(due).into()).await;
+            self.hub.with_core(|core, now| core.tick(now));
+            let now = self.hub.now();
+            self.counter.expire(&self.hub, now);
             if now - swept > 1000.0 {
                 swept = now;
                 self.upstream.sweep(now);
@@ -286,8 +160,19 @@
     }
 
     fn log_figures(&self) {
-        let core = self.core.borrow();
-        log::info!("{:?} owed={} instance links={}", core.tally(), core.owed(), self.upstream.open());
+        let (tally, owed) = self.hub.figures();
+        tracing::info!(
+            taken = tally.taken,
+            served = tally.served,
+            nacked = tally.nacked,
+            failed = tally.failed,
+            gone = tally.gone,
+            attempts = tally.attempts,
+            counts = tally.counts,
+            owed,
+            links = self.upstream.open(),
+            "figures"
+        );
     }
 }
 
@@ -312,7 +197,7 @@
 
 /// Reads again, at each SIGHUP and until the program ends, what an operator may change while it runs.
 async fn hear(
-    hub: Rc<Hub>,
+    node: Rc<Node>,
     mut hang_up: Signal,
     path: PathBuf,
     mut held: Config,
@@ -320,11 +205,11 @@
 ) {
     let mut inventory = inventory;
     while hang_up.recv().await.is_some() {
-        hub.reload(&path, &mut held);
+        node.reload(&path, &mut held);
         if let Some(inventory) = &mut inventory {
-            match hub.load(inventory) {
-                Ok(()) => log::info!("inventory read again"),
-                Err(e) => log::error!("{e}; the old list stays"),
+            match node.load(inventory) {
+                Ok(()) => tracing::info!("inventory read again"),
+                Err(e) => tracing::error!(error = %e, "the old list stays"),
             }
         }
     }
@@ -342,39 +227,40 @@
 ) -> Result<(), StartError> {
     let Signals { mut term, mut int, hang_up } = signals;
     let plugin = operator.plugin.as_ref().map(|p| Plugin::load(p, &operator.folder)).transpose()?;
-    let hub = Hub::new(&config, plugin, Clock::system())?;
+    let node = Node::new(&config, Hub::new(&config, plugin, Clock::system())?);
+    let hub = node.hub.clone();
     if !config.known.is_null() {
         let news = hub.table().take(&config.known)?;
         hub.with_core(|core, now| core.names(now, ListKind::Cached, news.entries));
     }
     let mut inventory = operator.inventory.as_ref().map(|i| Inventory::new(operator.folder.join(&i.file)));
     if let Some(inventory) = &mut inventory {
-        hub.load(inventory)?;
+        node.load(inventory)?;
     }
     let listener = bind(config.listen).await?;
     let second = match &operator.http2 {
         Some(http2) => Some((bind(http2.listen).await?, Http2Front::new(hub.clone(), http2.limits()))),
         None => None,
     };
-    spawn_local(hub.clone().keep_time());
-    hub.follow(config.discovery);
+    spawn_local(node.clone().keep_time());
+    node.follow(config.discovery);
     let streams = operator.http2.as_ref().map_or(0, |http2| http2.connections);
     let clients = (config.sockets.saturating_sub(OTHERS) * 3 / 5).saturating_sub(streams).max(16);
     let front = RespFront::new(hub.clone(), clients);
     let mut accepting = vec![spawn_local(front.clone().listen(listener))];
     spawn_local(front.clone().look());
-    log::info!("{} listens on {}", config.name, config.listen);
+    tracing::info!(name = config.name, address = %config.listen, "listens");
     let second = second.map(|(listener, front)| {
         accepting.push(spawn_local(front.clone().listen(listener)));
         front
     });
     config.known = serde_json::Value::Null;
-    spawn_local(hear(hub.clone(), hang_up, path, config, inventory));
+    spawn_local(hear(node.clone(), hang_up, path, config, inventory));
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    drain(&hub, &front, second.as_ref(), accepting).await;
+    drain(&node, &front, second.as_ref(), accepting).await;
     Ok(())
 }
 
@@ -384,15 +270,15 @@
 
 /// Finishes what was taken, closes what is idle, and ends in time.
 async fn drain(
-    hub: &Rc<Hub>,
+    node: &Rc<Node>,
     front: &Rc<RespFront>,
     second: Option<&Rc<Http2Front>>,
     accepting: Vec<tokio::task::JoinHandle<()>>,
 ) {
     let connections = || front.connections() + second.map_or(0, |s| s.connections());
-    let begun = hub.now();
-    log::info!("stopping: {} commands owed, {} clients", hub.core.borrow().owed(), connections());
-    tokio::time::sleep_until(hub.clock.instant(begun + ACCEPT_MS).into()).await;
+    let begun = node.hub.now();
+    tracing::info!(owed = node.hub.figures().1, clients = connections(), "stopping");
+    tokio::time::sleep_until(node.hub.clock().instant(begun + ACCEPT_MS).into()).await;
     // The listeners close with their tasks.
     for task in accepting {
         task.abort();
@@ -402,11 +288,11 @@
     if let Some(second) = second {
         second.leave();
     }
-    let longest = hub.platform.module.classes.iter().map(|c| c.deadline * 1e3).fold(0.0, f64::max);
+    let longest = node.hub.platform().module.classes.iter().map(|c| c.deadline * 1e3).fold(0.0, f64::max);
     let last = begun + longest.min(STOP_MS.0) + STOP_MS.1;
-    while connections() > 0 && hub.now() < last {
+    while connections() > 0 && node.hub.now() < last {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    hub.log_figures();
-    log::info!("stopped after {:.0} ms", hub.now() - begun);
+    node.log_figures();
+    tracing::info!(ms = (node.hub.now() - begun).round(), "stopped");
 }
--- a/src/plugin.rs
+++ b/src/plugin.rs
@@ -114,8 +114,8 @@
             .set_max_array_size(settings.size)
             .set_max_map_size(settings.size)
             .disable_symbol("eval")
-            .on_print(|text| log::debug!("plugin: {text}"))
-            .on_debug(|text, _, _| log::debug!("plugin: {text}"));
+            .on_print(|text| tracing::debug!(text, "plugin"))
+            .on_debug(|text, _, _| tracing::debug!(text, "plugin"));
         let script = engine.compile(text).map_err(|e| {
             PluginError::Parse(name.clone(), e.position().line().unwrap_or(1), e.err_type().to_string())
         })?;
@@ -140,7 +140,7 @@
         self.failures.set(self.failures.get() + 1);
         if now - self.logged.get() >= LOG_MS {
             self.logged.set(now);
-            log::warn!("plugin {}: {problem} ({} failures so far)", self.name, self.failures.get());
+            tracing::warn!(script = self.name, failures = self.failures.get(), problem, "plugin failed");
         }
         match self.on_error {
             OnError::Pass => Wish::Pass(Vec::new()),
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -6,8 +6,8 @@
 use crate::api::Outcome;
 use crate::core::{End, Start};
 use crate::facade::{CommandId, InstanceId};
+use crate::hub::Hub;
 use crate::name_table::Speaks;
-use crate::node::Hub;
 use crate::ring::Ring;
 use crate::settings::Platform;
 use crate::wire::{instance_reply, push_command, push_words, Parsed, Reply};
@@ -148,6 +148,7 @@
 
 /// All connections to instances.
 pub struct Upstream {
+    hub: Rc<Hub>,
     pools: RefCell<HashMap<InstanceId, Pool>>,
     running: RefCell<HashMap<(CommandId, u32), Running>>,
     open: Rc<Cell<usize>>,
@@ -159,8 +160,9 @@
 
 impl Upstream {
     /// No connections yet; `budget` is the most that may be open together.
-    pub fn new(platform: &Platform, budget: usize) -> Upstream {
-        Upstream {
+    pub fn new(hub: Rc<Hub>, budget: usize) -> Rc<Upstream> {
+        let platform = hub.platform();
+        Rc::new(Upstream {
             pools: RefCell::default(),
             running: RefCell::default(),
             open: Rc::default(),
@@ -168,7 +170,8 @@
             budget,
             retire_ms: platform.idle_ms * RETIRE,
             dial: Duration::from_secs_f64(platform.dial_ms / 1e3),
-        }
+            hub,
+        })
     }
 
     /// Connections open or coming up.
@@ -177,20 +180,20 @@
     }
 
     /// Starts an attempt; its end is told to the hub.
-    pub fn start(&self, hub: &Rc<Hub>, attempt: Start) {
+    pub fn start(self: &Rc<Self>, attempt: Start) {
         let key = (attempt.id, attempt.attempt);
-        let (instance, since) = (attempt.instance, hub.now());
+        let (instance, since) = (attempt.instance, self.hub.now());
         let handle = Handle::default();
-        let (held, hub) = (handle.clone(), hub.clone());
+        let (held, up) = (handle.clone(), self.clone());
         let task = spawn_local(async move {
-            let at = hub.table().instance(attempt.instance).map(|i| (i.addr, i.speaks));
+            let at = up.hub.table().instance(attempt.instance).map(|i| (i.addr, i.speaks));
             let end = match at {
-                Some((addr, Speaks::Resp)) => run(&hub, &attempt, addr, &held).await,
-                Some((addr, Speaks::Http2)) => run_http2(&hub, &attempt, addr, &held).await,
+                Some((addr, Speaks::Resp)) => run(&up, &attempt, addr, &held).await,
+                Some((addr, Speaks::Http2)) => run_http2(&up, &attempt, addr, &held).await,
                 None => End::without(Outcome::ConnectFailed),
             };
-            hub.upstream().running.borrow_mut().remove(&(attempt.id, attempt.attempt));
-            hub.with_core(|core, now| core.attempt_ended(now, attempt.id, attempt.attempt, end));
+            up.running.borrow_mut().remove(&(attempt.id, attempt.attempt));
+            up.hub.with_core(|core, now| core.attempt_ended(now, attempt.id, attempt.attempt, end));
         });
         self.running.borrow_mut().insert(key, Running { task: task.abort_handle(), handle, instance, since });
     }
@@ -217,13 +220,12 @@
     }
 
     /// Asks an instance for its load.
-    pub fn probe(&self, hub: &Rc<Hub>, instance: InstanceId) {
-        let hub = hub.clone();
+    pub fn probe(self: &Rc<Self>, instance: InstanceId) {
+        let up = self.clone();
         spawn_local(async move {
-            let wait = hub.upstream().dial;
             let (outcome, load) =
-                timeout(wait, probe(&hub, instance)).await.unwrap_or((Outcome::Timeout, Vec::new()));
-            hub.with_core(|core, now| core.probed(now, instance, outcome, load));
+                timeout(up.dial, probe(&up, instance)).await.unwrap_or((Outcome::Timeout, Vec::new()));
+            up.hub.with_core(|core, now| core.probed(now, instance, outcome, load));
         });
     }
 
@@ -301,31 +303,32 @@
     }
 
     /// Keeps a connection for the next command, unless there will be none.
-    fn keep(&self, hub: &Hub, instance: InstanceId, link: Rc<Link>) {
-        if let Some(pool) = self.pools.borrow_mut().get_mut(&instance).filter(|_| hub.takes(instance)) {
-            pool.idle.push(Idle { link, since: hub.now() });
+    fn keep(&self, instance: InstanceId, link: Rc<Link>) {
+        let (takes, since) = (self.hub.takes(instance), self.hub.now());
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&instance).filter(|_| takes) {
+            pool.idle.push(Idle { link, since });
         }
     }
 }
 
-async fn connect(hub: &Rc<Hub>, instance: InstanceId, addr: SocketAddr) -> Option<Rc<Link>> {
-    let upstream = hub.upstream();
-    if let Some(link) = upstream.reuse(hub.now(), instance, addr) {
+async fn connect(up: &Upstream, instance: InstanceId, addr: SocketAddr) -> Option<Rc<Link>> {
+    let hub = &up.hub;
+    if let Some(link) = up.reuse(hub.now(), instance, addr) {
         return Some(link);
     }
-    let Some(seat) = upstream.seat(hub.now(), instance) else {
+    let Some(seat) = up.seat(hub.now(), instance) else {
         // There may be one that only needs its rest.
         tokio::time::sleep(Duration::from_secs_f64(REST_MS / 1e3)).await;
-        return upstream.reuse(hub.now(), instance, addr);
+        return up.reuse(hub.now(), instance, addr);
     };
-    match timeout(upstream.dial, TcpStream::connect(addr)).await {
+    match timeout(up.dial, TcpStream::connect(addr)).await {
         Ok(Ok(stream)) => {
             let _ = stream.set_nodelay(true);
             let (input, output) = (Ring::new(MOST_REPLY).into(), Ring::new(MOST_REPLY).into());
             Some(Rc::new(Link { stream, addr, input, output, age: Cell::new(0), _seat: seat }))
         }
         _ => {
-            upstream.refused(hub.now(), instance);
+            up.refused(hub.now(), instance);
             None
         }
     }
@@ -400,43 +403,44 @@
 }
 
 /// The connection that an instance's HTTP/2 attempts share, opened where there is none.
-async fn shared(hub: &Rc<Hub>, instance: InstanceId, addr: SocketAddr) -> Option<Shared> {
-    let upstream = hub.upstream();
-    let known = upstream.pools.borrow().get(&instance).and_then(|pool| pool.shared.clone());
+async fn shared(up: &Upstream, instance: InstanceId, addr: SocketAddr) -> Option<Shared> {
+    let hub = &up.hub;
+    let known = up.pools.borrow().get(&instance).and_then(|pool| pool.shared.clone());
     if let Some(shared) = known.filter(|shared| shared.up.get() && shared.addr == addr) {
         return Some(shared);
     }
-    let seat = upstream.seat(hub.now(), instance)?;
+    let seat = up.seat(hub.now(), instance)?;
     let dial = async {
         let stream = TcpStream::connect(addr).await.ok()?;
         let _ = stream.set_nodelay(true);
         h2::client::Builder::new().enable_push(false).handshake::<_, Bytes>(stream).await.ok()
     };
-    let Ok(Some((send, connection))) = timeout(upstream.dial, dial).await else {
-        upstream.refused(hub.now(), instance);
+    let Ok(Some((send, connection))) = timeout(up.dial, dial).await else {
+        up.refused(hub.now(), instance);
         return None;
     };
     let now = hub.now();
-    let up = Rc::new(Cell::new(true));
+    let alive = Rc::new(Cell::new(true));
     let (heard, used) = (Rc::new(Cell::new(now)), Rc::new(Cell::new(now)));
-    let shared = Shared { send, heard, used, addr, up: up.clone() };
+    let shared = Shared { send, heard, used, addr, up: alive.clone() };
     spawn_local(async move {
         let _seat = seat;
         if let Err(e) = connection.await {
-            log::debug!("http2 instance: {e}");
+            tracing::debug!(error = %e, "http2 instance");
         }
-        up.set(false);
+        alive.set(false);
     });
-    if let Some(pool) = upstream.pools.borrow_mut().get_mut(&instance) {
+    if let Some(pool) = up.pools.borrow_mut().get_mut(&instance) {
         pool.shared.take_if(|shared| !shared.up.get() || shared.addr != addr);
         pool.shared.get_or_insert_with(|| shared.clone());
     }
     Some(shared)
 }
 
-async fn run_http2(hub: &Rc<Hub>, attempt: &Start, addr: SocketAddr, held: &Handle) -> End {
+async fn run_http2(up: &Upstream, attempt: &Start, addr: SocketAddr, held: &Handle) -> End {
+    let hub = &up.hub;
     let never = End::without(Outcome::ConnectFailed);
-    let Some(shared) = shared(hub, attempt.instance, addr).await else { return never };
+    let Some(shared) = shared(up, attempt.instance, addr).await else { return never };
     let Ok(mut send) = shared.send.clone().ready().await else {
         // The connection takes no new streams: the next attempt opens another.
         shared.up.set(false);
@@ -459,7 +463,7 @@
         let _ = stream.send_data(Bytes::copy_from_slice(body), true);
     }
     *held.borrow_mut() = Some(Abandon::Reset(stream));
-    let end = answer_http2(hub, response).await;
+    let end = answer_http2(up, response).await;
     held.borrow_mut().take();
     let now = hub.now();
     shared.used.set(now);
@@ -469,8 +473,8 @@
     end
 }
 
-async fn answer_http2(hub: &Hub, response: h2::client::ResponseFuture) -> End {
-    let platform = hub.platform();
+async fn answer_http2(up: &Upstream, response: h2::client::ResponseFuture) -> End {
+    let platform = up.hub.platform();
     let (head, mut stream) = match response.await {
         Ok(response) => response.into_parts(),
         Err(e) => return End::without(wire_http2::broken(&e)),
@@ -481,15 +485,16 @@
     if outcome != Outcome::Ok {
         return End { outcome, value: None, load };
     }
-    match timeout(hub.upstream().dial, wire_http2::collect(&mut stream)).await {
+    match timeout(up.dial, wire_http2::collect(&mut stream)).await {
         Ok(Ok(value)) => End { outcome, value: Some(value), load },
         // It has begun to answer, so it ran, whatever ended the stream or keeps it from its end.
         _ => End::without(Outcome::Reset),
     }
 }
 
-async fn run(hub: &Rc<Hub>, attempt: &Start, addr: SocketAddr, held: &Handle) -> End {
-    let Some(link) = connect(hub, attempt.instance, addr).await else {
+async fn run(up: &Upstream, attempt: &Start, addr: SocketAddr, held: &Handle) -> End {
+    let hub = &up.hub;
+    let Some(link) = connect(up, attempt.instance, addr).await else {
         return End::without(Outcome::ConnectFailed);
     };
     *held.borrow_mut() = Some(Abandon::Close(link.clone()));
@@ -500,15 +505,15 @@
     if !sent || !write(&link).await {
         return End::without(Outcome::ConnectFailed);
     }
-    let end = read(&link, hub.upstream().dial, |reply| ending(hub.platform(), reply)).await;
+    let end = read(&link, up.dial, |reply| ending(hub.platform(), reply)).await;
     held.borrow_mut().take();
     let unheard = end.is_none() && link.input.borrow().is_empty();
-    hub.upstream().ages.borrow_mut().note(link.age.get(), unheard);
+    up.ages.borrow_mut().note(link.age.get(), unheard);
     match end {
         Some(end) => {
             // Anything behind the reply is nobody's: such a connection is not reused.
             if link.input.borrow().is_empty() {
-                hub.upstream().keep(hub, attempt.instance, link);
+                up.keep(attempt.instance, link);
             }
             end
         }
@@ -566,21 +571,22 @@
     platform.columns.iter().map(find).collect::<Option<Vec<f64>>>().unwrap_or_default()
 }
 
-async fn probe(hub: &Rc<Hub>, instance: InstanceId) -> (Outcome, Vec<f64>) {
+async fn probe(up: &Upstream, instance: InstanceId) -> (Outcome, Vec<f64>) {
+    let hub = &up.hub;
     let failed = (Outcome::ConnectFailed, Vec::new());
     let at = hub.table().instance(instance).map(|i| (i.addr, i.speaks));
     let addr = match at {
         Some((addr, Speaks::Resp)) => addr,
-        Some((addr, Speaks::Http2)) => return probe_http2(hub, instance, addr).await,
+        Some((addr, Speaks::Http2)) => return probe_http2(up, instance, addr).await,
         None => return failed,
     };
-    let Some(link) = connect(hub, instance, addr).await else { return failed };
+    let Some(link) = connect(up, instance, addr).await else { return failed };
     let mut bytes = Vec::new();
     push_words(&mut bytes, 2, [b"INFO".as_slice(), b"load"].into_iter());
     if link.output.borrow_mut().push(&bytes).is_err() || !write(&link).await {
         return failed;
     }
-    let answer = read(&link, hub.upstream().dial, |reply| match reply {
+    let answer = read(&link, up.dial, |reply| match reply {
         Reply::Bulk(Some(report)) => Some((Outcome::Ok, load(hub.platform(), report))),
         Reply::Error(_) => Some((Outcome::Error, Vec::new())),
         _ => None,
@@ -588,7 +594,7 @@
     match answer.await {
         Some(result) => {
             if link.input.borrow().is_empty() {
-                hub.upstream().keep(hub, instance, link);
+                up.keep(instance, link);
             }
             result
         }
@@ -596,9 +602,10 @@
     }
 }
 
-async fn probe_http2(hub: &Rc<Hub>, instance: InstanceId, addr: SocketAddr) -> (Outcome, Vec<f64>) {
+async fn probe_http2(up: &Upstream, instance: InstanceId, addr: SocketAddr) -> (Outcome, Vec<f64>) {
+    let hub = &up.hub;
     let failed = (Outcome::ConnectFailed, Vec::new());
-    let Some(shared) = shared(hub, instance, addr).await else { return failed };
+    let Some(shared) = shared(up, instance, addr).await else { return failed };
     let Ok(mut send) = shared.send.clone().ready().await else { return failed };
     let Ok(request) = http::Request::get("http://instance/-/load").body(()) else { return failed };
     let Ok((response, _)) = send.send_request(request, true) else { return failed };
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -71,3 +71,31 @@
         assert!(said.contains(want), "{said} should name {want}");
     }
 }
+
+#[test]
+fn check_names_every_fault_and_passes_what_serves() {
+    let folder = std::env::temp_dir().join(format!("driftgap-check-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let check = |config: &str, operator: &str| {
+        for (name, text) in [("config.json", config), ("operator.toml", operator)] {
+            std::fs::write(folder.join(name), text).unwrap();
+        }
+        std::fs::write(folder.join("bad.csv"), "name,address\na,here\n").unwrap();
+        let out = Command::new(env!("CARGO_BIN_EXE_driftgap"))
+            .arg("check")
+            .env("EDGE_CONFIG", folder.join("config.json"))
+            .env("DRIFTGAP_OPERATOR", folder.join("operator.toml"))
+            .output()
+            .unwrap();
+        (out.status.code(), String::from_utf8(out.stderr).unwrap())
+    };
+    let config = format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#);
+    assert_eq!(check(&config, ""), (Some(0), String::new()));
+    let operator = "[plugin]\nscript = \"none.rhai\"\n[inventory]\nfile = \"bad.csv\"\n";
+    let (code, said) = check(&config, operator);
+    assert_eq!((code, said.lines().count()), (Some(2), 2), "{said}");
+    assert!(said.contains("none.rhai") && said.contains("row 2: address"), "{said}");
+    let (code, said) = check("{", "[http3]\n");
+    assert_eq!((code, said.lines().count()), (Some(2), 2), "{said}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
