--- /dev/null
+++ b/crates/expr/src/check.rs
@@ -0,0 +1,1243 @@
+//! From the tree of a text to a typed tree: every name known, every type fitting, every read of what may be
+//! absent guarded. It owns the types of operators and functions, the narrowing by what was asked before, the
+//! folding of constants and the wording of type faults. It must never evaluate anything of an input, or take
+//! longer than the text's length warrants.
+
+use crate::ast::{Binary, Tree, What};
+use crate::error::{nearest, Error};
+use crate::facts::{Fact, Facts, Path, Texts};
+use crate::lex::short;
+use crate::program::{fold, Const};
+use crate::schema::{Bound, FieldId, Schema, Type};
+use ipnet::IpNet;
+use rapidhash::RapidHashMap;
+use std::collections::BTreeSet;
+use std::ops::Range;
+use std::sync::Arc;
+
+/// Longest pattern of a regular expression, and most memory that its compiled form may take, bytes.
+pub const MOST_PATTERN: usize = 512;
+/// See [`MOST_PATTERN`].
+pub const MOST_REGEX: usize = 64 * 1024;
+/// Most regular expressions in one expression.
+pub const MOST_REGEXES: usize = 16;
+/// Most parts that `split` gives.
+pub const MOST_PARTS: i64 = 64;
+/// Most names of the expression's own (`let`, `exists`, `all`), hidden ones of loops included.
+pub const MOST_LOCALS: usize = 32;
+/// Longest text that an expression may make, bytes.
+pub const MOST_MADE: u32 = 64 * 1024;
+/// Longest duration, ms: 100 years.
+const MOST_DURATION: f64 = 3.2e12;
+
+/// What an operator or a function of the language does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Func {
+    Size,
+    StartsWith,
+    EndsWith,
+    Contains,
+    LowerAscii,
+    Split,
+    ToInt,
+    ToDouble,
+    ToText,
+    ToIp,
+    Milliseconds,
+    Hash,
+    Min,
+    Max,
+    Minus,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Kind {
+    Const(Const),
+    Field(FieldId),
+    Local(u16),
+    /// An item of a list: optional.
+    Item(Box<Node>, Box<Node>),
+    /// An entry of a map: optional.
+    Lookup(Box<Node>, Box<Node>),
+    /// What is optional and proven to be there.
+    Sure(Box<Node>),
+    Has(Box<Node>),
+    OrValue(Box<Node>, Box<Node>),
+    Let(u16, Box<Node>, Box<Node>),
+    Not(Box<Node>),
+    And(Vec<Node>),
+    Or(Vec<Node>),
+    If(Box<Node>, Box<Node>, Box<Node>),
+    Binary(Binary, Box<Node>, Box<Node>),
+    Call(Func, Vec<Node>),
+    /// Is one of a set of constants.
+    InSet(Box<Node>, Const),
+    /// Begins with one of these.
+    BeginsWithAny(Box<Node>, Vec<Arc<str>>),
+    Matches(Box<Node>, Arc<str>),
+    InCidrs(Box<Node>, Vec<IpNet>),
+    /// Is an item of a list that is no constant.
+    InList(Box<Node>, Box<Node>),
+    /// `list.exists(x, test)` or `list.all(x, test)`; the number is x's, the two after it are the loop's own.
+    Loop {
+        all: bool,
+        slot: u16,
+        list: Box<Node>,
+        test: Box<Node>,
+    },
+}
+
+/// An expression whose type is known.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Node {
+    pub(crate) kind: Kind,
+    pub(crate) ty: Type,
+    pub(crate) bound: Bound,
+    pub(crate) span: Range<usize>,
+}
+
+impl Node {
+    fn new(kind: Kind, ty: Type, bound: Bound, span: Range<usize>) -> Node {
+        Node { kind, ty, bound, span }
+    }
+
+    fn constant(value: Const, span: Range<usize>) -> Node {
+        let (ty, bound) = (value.ty(), value.bound());
+        Node::new(Kind::Const(value), ty, bound, span)
+    }
+
+    pub(crate) fn as_const(&self) -> Option<&Const> {
+        match &self.kind {
+            Kind::Const(value) => Some(value),
+            _ => None,
+        }
+    }
+
+    fn as_text(&self) -> Option<&Arc<str>> {
+        match self.as_const() {
+            Some(Const::Text(text)) => Some(text),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn children(&self) -> Vec<&Node> {
+        match &self.kind {
+            Kind::Const(_) | Kind::Field(_) | Kind::Local(_) => vec![],
+            Kind::Sure(a) | Kind::Has(a) | Kind::Not(a) => vec![a],
+            Kind::InSet(a, _) | Kind::BeginsWithAny(a, _) | Kind::Matches(a, _) | Kind::InCidrs(a, _) => {
+                vec![a]
+            }
+            Kind::Item(a, b) | Kind::Lookup(a, b) | Kind::OrValue(a, b) => vec![a, b],
+            Kind::Let(_, a, b) | Kind::Binary(_, a, b) | Kind::InList(a, b) => vec![a, b],
+            Kind::Loop { list, test, .. } => vec![list, test],
+            Kind::And(parts) | Kind::Or(parts) | Kind::Call(_, parts) => parts.iter().collect(),
+            Kind::If(a, b, c) => vec![a, b, c],
+        }
+    }
+}
+
+/// A name of the expression's own.
+#[derive(Clone, Debug)]
+struct Name {
+    name: String,
+    slot: u16,
+    ty: Type,
+    bound: Bound,
+    /// The place of the input that it is another name for.
+    path: Option<Path>,
+    /// What its being true or false says, if it is a test.
+    when: Option<[Option<Facts>; 2]>,
+    /// It may be read here. Names stay known after that: facts are asked for later.
+    open: bool,
+}
+
+pub(crate) struct Checker<'a> {
+    schema: &'a Schema,
+    names: Vec<Name>,
+    slots: u16,
+    regexes: usize,
+}
+
+type Res<T> = Result<T, Error>;
+
+/// The function's names, for messages.
+const METHODS: [&str; 16] = [
+    "size",
+    "startsWith",
+    "endsWith",
+    "contains",
+    "matches",
+    "lowerAscii",
+    "split",
+    "inCidr",
+    "orValue",
+    "exists",
+    "all",
+    "milliseconds",
+    "min",
+    "max",
+    "hash",
+    "string",
+];
+const FUNCTIONS: [&str; 11] =
+    ["has", "size", "int", "double", "string", "duration", "ip", "hash", "min", "max", "let"];
+
+pub(crate) fn bounded(bytes: u32, items: u32) -> Bound {
+    Bound { bytes, items }
+}
+
+fn mismatch(span: &Range<usize>, want: &str, got: &Node) -> Error {
+    let error = Error::new(span.clone(), format!("this is {}", article(&got.ty)));
+    match &got.ty {
+        Type::Optional(of) if of.to_string() == want => {
+            error.help(format!("{want} was expected: ask has() first, or give a default with .orValue()"))
+        }
+        _ => error.help(format!("{want} was expected")),
+    }
+}
+
+fn article(ty: &Type) -> String {
+    match ty {
+        Type::Int | Type::Ip | Type::Optional(_) => format!("an {ty}"),
+        _ => format!("a {ty}"),
+    }
+}
+
+impl<'a> Checker<'a> {
+    pub(crate) fn new(schema: &'a Schema) -> Checker<'a> {
+        Checker { schema, names: Vec::new(), slots: 0, regexes: 0 }
+    }
+
+    /// Locals that the expression needs.
+    pub(crate) fn slots(&self) -> u16 {
+        self.slots
+    }
+
+    /// Types a tree, knowing `facts` of the input.
+    pub(crate) fn check(&mut self, tree: &Tree, facts: &Facts) -> Res<Node> {
+        let node = self.typed(tree, facts)?;
+        fold(node)
+    }
+
+    fn typed(&mut self, tree: &Tree, facts: &Facts) -> Res<Node> {
+        let span = tree.span.clone();
+        match &tree.what {
+            What::Bool(v) => Ok(Node::constant(Const::Bool(*v), span)),
+            What::Int(v) => Ok(Node::constant(Const::Int(*v), span)),
+            What::Double(v) => Ok(Node::constant(Const::Double(*v), span)),
+            What::Text(v) => Ok(Node::constant(Const::Text(v.as_str().into()), span)),
+            What::Name(_) | What::Member(..) => self.place(tree, facts),
+            What::Index(of, index) => self.index(of, index, span, facts),
+            What::Call(name, args) => self.call(name, args, span, facts),
+            What::Method(of, name, args) => self.method(of, name, args, span, facts),
+            What::Not(a) => {
+                let a = self.bool(a, facts)?;
+                Ok(Node::new(Kind::Not(a.into()), Type::Bool, Bound::default(), span))
+            }
+            What::Minus(a) => {
+                let a = self.check(a, facts)?;
+                if !matches!(a.ty, Type::Int | Type::Double | Type::Duration) {
+                    return Err(mismatch(&a.span, "a number", &a));
+                }
+                let ty = a.ty.clone();
+                Ok(Node::new(Kind::Call(Func::Minus, vec![a]), ty, Bound::default(), span))
+            }
+            What::And(parts) => self.chain(parts, true, span, facts),
+            What::Or(parts) => self.chain(parts, false, span, facts),
+            What::If(test, yes, no) => {
+                let test = self.bool(test, facts)?;
+                // On a way that is never taken anything is known; what was known before does for its types.
+                let [yes_facts, no_facts] = self.facts(&test);
+                let way = |known: Option<Facts>| {
+                    known.and_then(|known| facts.clone().meet(known)).unwrap_or_else(|| facts.clone())
+                };
+                let (known_yes, known_no) = (way(yes_facts), way(no_facts));
+                let (yes, no) = (self.check(yes, &known_yes)?, self.check(no, &known_no)?);
+                if yes.ty != no.ty {
+                    let problem = format!("the two sides of `? :` differ: {} and {}", yes.ty, no.ty);
+                    return Err(Error::new(no.span, problem).help(format!("{} was expected", yes.ty)));
+                }
+                let bound = larger(yes.bound, no.bound);
+                let ty = yes.ty.clone();
+                Ok(Node::new(Kind::If(test.into(), yes.into(), no.into()), ty, bound, span))
+            }
+            What::Binary(Binary::In, a, b) => self.is_in(a, b, span, facts),
+            What::Binary(operator, a, b) => {
+                let (a, b) = (self.check(a, facts)?, self.check(b, facts)?);
+                self.binary(*operator, a, b, span)
+            }
+            What::List(parts) => self.list(parts, span, facts),
+            What::Map(pairs) => self.map(pairs, span, facts),
+            What::Let(name, value, body) => {
+                let value = self.check(value, facts)?;
+                let when = (value.ty == Type::Bool).then(|| self.facts(&value));
+                let path = self.path(&value);
+                let slot = self.declare(name, &value, path, when, span.clone(), 1)?;
+                let body = self.check(body, facts)?;
+                self.close(slot);
+                let (ty, bound) = (body.ty.clone(), body.bound);
+                Ok(Node::new(Kind::Let(slot, value.into(), body.into()), ty, bound, span))
+            }
+        }
+    }
+
+    fn declare(
+        &mut self,
+        name: &str,
+        value: &Node,
+        path: Option<Path>,
+        when: Option<[Option<Facts>; 2]>,
+        span: Range<usize>,
+        slots: u16,
+    ) -> Res<u16> {
+        let taken = self.names.iter().any(|n| n.open && n.name == name);
+        if taken || self.schema.id(name).is_some() || self.schema.is_space(name) {
+            return Err(Error::new(span, format!("`{}` has a meaning already", short(name))));
+        }
+        let slot = self.slots;
+        if usize::from(slot + slots) > MOST_LOCALS {
+            return Err(Error::new(span, format!("more than {MOST_LOCALS} names of the expression's own")));
+        }
+        self.slots += slots;
+        let path = path.or(Some(Path::Local(slot)));
+        let (ty, bound) = (value.ty.clone(), value.bound);
+        self.names.push(Name { name: name.to_string(), slot, ty, bound, path, when, open: true });
+        Ok(slot)
+    }
+
+    fn close(&mut self, slot: u16) {
+        self.names.iter_mut().filter(|n| n.slot == slot).for_each(|n| n.open = false);
+    }
+
+    fn bool(&mut self, tree: &Tree, facts: &Facts) -> Res<Node> {
+        let node = self.check(tree, facts)?;
+        if node.ty == Type::Bool {
+            Ok(node)
+        } else {
+            Err(mismatch(&node.span, "bool", &node))
+        }
+    }
+
+    /// A name or a dotted name.
+    fn place(&mut self, tree: &Tree, facts: &Facts) -> Res<Node> {
+        let span = tree.span.clone();
+        if let What::Name(name) = &tree.what {
+            if let Some(local) = self.names.iter().find(|n| n.open && n.name == *name).cloned() {
+                let node = Node::new(Kind::Local(local.slot), local.ty, local.bound, span);
+                return Ok(self.narrowed(node, facts));
+            }
+        }
+        let Some(dotted) = dotted(tree) else {
+            return match &tree.what {
+                What::Member(of, member) => {
+                    let of = self.check(of, facts)?;
+                    let problem = format!("{} has no member `{}`", article(&of.ty), short(member));
+                    let error = Error::new(span, problem);
+                    Err(match nearest(member, METHODS.into_iter()) {
+                        Some(near) => error.help(format!("`.{near}(...)` is a function")),
+                        None => error,
+                    })
+                }
+                _ => Err(Error::new(span, "no value")),
+            };
+        };
+        let Some(id) = self.schema.id(&dotted) else {
+            let error = if self.schema.is_space(&dotted) {
+                Error::new(span, format!("`{}` is a group of fields, not a value", short(&dotted)))
+            } else {
+                Error::new(span, format!("there is no `{}`", short(&dotted)))
+            };
+            let fields = self.schema.fields().iter().map(|f| f.name.as_str());
+            let known = fields.chain(self.names.iter().filter(|n| n.open).map(|n| n.name.as_str()));
+            return Err(match nearest(&dotted, known) {
+                Some(near) => error.help(format!("did you mean `{near}`?")),
+                None => {
+                    let within =
+                        |f: &&str| f.starts_with(&format!("{}.", dotted.split('.').next().unwrap_or("")));
+                    let fields = self.schema.fields().iter().map(|f| f.name.as_str());
+                    let some: Vec<&str> = fields.filter(within).take(12).collect();
+                    match some.is_empty() {
+                        true => error,
+                        false => error.help(format!("known are {}", some.join(", "))),
+                    }
+                }
+            });
+        };
+        let Some(field) = self.schema.get(id) else { return Err(Error::new(span, "no such field")) };
+        let ty = if field.optional { Type::Optional(field.ty.clone().into()) } else { field.ty.clone() };
+        Ok(self.narrowed(Node::new(Kind::Field(id), ty, field.bound, span), facts))
+    }
+
+    /// What is optional, without that where it is known to be there.
+    fn narrowed(&self, node: Node, facts: &Facts) -> Node {
+        let Type::Optional(of) = &node.ty else { return node };
+        match self.path(&node) {
+            Some(path) if facts.present(&path) => {
+                let (ty, bound, span) = ((**of).clone(), node.bound, node.span.clone());
+                Node::new(Kind::Sure(node.into()), ty, bound, span)
+            }
+            _ => node,
+        }
+    }
+
+    /// The place of the input that a node reads.
+    pub(crate) fn path(&self, node: &Node) -> Option<Path> {
+        match &node.kind {
+            Kind::Field(id) => Some(Path::Field(*id)),
+            Kind::Sure(of) => self.path(of),
+            Kind::Local(slot) => self.names.iter().find(|n| n.slot == *slot)?.path.clone(),
+            Kind::Lookup(of, key) => match (self.path(of)?, key.as_const()?) {
+                (Path::Field(id), Const::Text(key)) => Some(Path::Key(id, key.to_string())),
+                _ => None,
+            },
+            Kind::Item(of, index) => match (self.path(of)?, index.as_const()?) {
+                (Path::Field(id), Const::Int(index)) => Some(Path::Item(id, *index)),
+                _ => None,
+            },
+            _ => None,
+        }
+    }
+
+    fn index(&mut self, of: &Tree, index: &Tree, span: Range<usize>, facts: &Facts) -> Res<Node> {
+        let (of, index) = (self.check(of, facts)?, self.check(index, facts)?);
+        let (kind, item, bound, want) = match &of.ty {
+            Type::List(item) => {
+                (Kind::Item as fn(_, _) -> _, item.clone(), bounded(of.bound.bytes, 0), Type::Int)
+            }
+            Type::Map(item) => {
+                (Kind::Lookup as fn(_, _) -> _, item.clone(), bounded(of.bound.bytes, 0), Type::Text)
+            }
+            _ => return Err(mismatch(&of.span, "a list or a map", &of)),
+        };
+        if index.ty != want {
+            return Err(mismatch(&index.span, &want.to_string(), &index));
+        }
+        let kind = kind(Box::new(of), Box::new(index));
+        Ok(self.narrowed(Node::new(kind, Type::Optional(item), bound, span), facts))
+    }
+
+    fn chain(&mut self, parts: &[Tree], and: bool, span: Range<usize>, facts: &Facts) -> Res<Node> {
+        let mut known = facts.clone();
+        let mut nodes: Vec<Node> = Vec::with_capacity(parts.len().min(64));
+        for part in parts {
+            let node = self.bool(part, &known)?;
+            // The next part is read only where this one was true (and) or false (or).
+            if let Some(more) = self.facts(&node)[usize::from(!and)].take() {
+                known = known.meet(more).unwrap_or_else(|| facts.clone());
+            }
+            match node.as_const() {
+                // Says nothing.
+                Some(Const::Bool(value)) if *value == and => continue,
+                _ => nodes.push(node),
+            }
+        }
+        if !and {
+            nodes = self.merged(nodes);
+        }
+        Ok(match (nodes.len(), and) {
+            (0, _) => Node::constant(Const::Bool(and), span),
+            (1, _) => nodes.remove(0),
+            (_, true) => Node::new(Kind::And(nodes), Type::Bool, Bound::default(), span),
+            (_, false) => Node::new(Kind::Or(nodes), Type::Bool, Bound::default(), span),
+        })
+    }
+
+    /// Neighbouring tests of one place as one: equalities as a look-up, beginnings as one automaton.
+    fn merged(&self, nodes: Vec<Node>) -> Vec<Node> {
+        let mut merged: Vec<Node> = Vec::new();
+        let mut run: Option<(Node, Tested)> = None;
+        for node in nodes {
+            if let Some((first, tested)) = &mut run {
+                let of = self.tested(first).map(|(of, _)| of);
+                if let (Some(of), Some((too, more))) = (of, self.tested(&node)) {
+                    if self.same(of, too) && tested.take(more) {
+                        first.span.end = node.span.end;
+                        continue;
+                    }
+                }
+            }
+            merged.extend(run.take().map(|run| self.whole(run)));
+            match self.tested(&node) {
+                Some((_, tested)) => run = Some((node, tested)),
+                None => merged.push(node),
+            }
+        }
+        merged.extend(run.map(|run| self.whole(run)));
+        merged
+    }
+
+    /// A run of tests as one node.
+    fn whole(&self, (first, tested): (Node, Tested)) -> Node {
+        let Some((of, _)) = self.tested(&first) else { return first };
+        let kind = match tested {
+            Tested::One(texts) if texts.len() > 1 => Kind::InSet(of.clone().into(), Const::texts(texts)),
+            Tested::Begin(texts) if texts.len() > 1 => Kind::BeginsWithAny(of.clone().into(), texts),
+            _ => return first,
+        };
+        Node::new(kind, Type::Bool, Bound::default(), first.span)
+    }
+
+    fn same(&self, a: &Node, b: &Node) -> bool {
+        self.path(a).is_some_and(|path| Some(path) == self.path(b))
+    }
+
+    fn tested<'n>(&self, node: &'n Node) -> Option<(&'n Node, Tested)> {
+        match &node.kind {
+            Kind::Binary(Binary::Equal, a, b) => match (a.as_text(), b.as_text()) {
+                (None, Some(text)) => Some((a, Tested::One(vec![text.clone()]))),
+                (Some(text), None) => Some((b, Tested::One(vec![text.clone()]))),
+                _ => None,
+            },
+            Kind::InSet(a, Const::TextSet(set)) => Some((a, Tested::One(set.iter().cloned().collect()))),
+            Kind::Call(Func::StartsWith, args) => {
+                Some((&args[0], Tested::Begin(vec![args.get(1)?.as_text()?.clone()])))
+            }
+            Kind::BeginsWithAny(a, all) => Some((a, Tested::Begin(all.clone()))),
+            _ => None,
+        }
+    }
+
+    fn is_in(&mut self, a: &Tree, b: &Tree, span: Range<usize>, facts: &Facts) -> Res<Node> {
+        let node = self.check(a, facts)?;
+        // A list that is written out may hold what is no constant: it is tested item by item.
+        let list = match &b.what {
+            What::List(parts) => {
+                let items = parts.iter().map(|part| self.check(part, facts)).collect::<Res<Vec<Node>>>()?;
+                if items.iter().any(|item| item.as_const().is_none()) {
+                    return self.is_one_of(node, items, span);
+                }
+                constant_list(items, b.span.clone())?
+            }
+            _ => self.check(b, facts)?,
+        };
+        if matches!(list.as_const(), Some(Const::List(_, all)) if all.is_empty()) {
+            return Ok(Node::constant(Const::Bool(false), span));
+        }
+        match (&list.ty, list.as_const()) {
+            (Type::Map(_), _) => {
+                if node.ty != Type::Text {
+                    return Err(mismatch(&node.span, "string", &node));
+                }
+                let Type::Map(of) = list.ty.clone() else { return Err(Error::new(span, "no map")) };
+                let bound = bounded(list.bound.bytes, 0);
+                let at = span.clone();
+                let found = Node::new(Kind::Lookup(list.into(), node.into()), Type::Optional(of), bound, at);
+                Ok(Node::new(Kind::Has(found.into()), Type::Bool, Bound::default(), span))
+            }
+            (Type::List(of), value) => {
+                if node.ty != **of {
+                    return Err(mismatch(&node.span, &of.to_string(), &node));
+                }
+                let kind = match value {
+                    Some(Const::List(Type::Text, all)) => {
+                        let texts = all.iter().filter_map(|c| {
+                            if let Const::Text(t) = c {
+                                Some(t.clone())
+                            } else {
+                                None
+                            }
+                        });
+                        Kind::InSet(node.into(), Const::texts(texts.collect()))
+                    }
+                    Some(Const::List(Type::Int, all)) => {
+                        let ints =
+                            all.iter().filter_map(|c| if let Const::Int(v) = c { Some(*v) } else { None });
+                        Kind::InSet(node.into(), Const::IntSet(Arc::new(ints.collect())))
+                    }
+                    _ => Kind::InList(node.into(), list.into()),
+                };
+                Ok(Node::new(kind, Type::Bool, Bound::default(), span))
+            }
+            _ => Err(mismatch(&list.span, "a list or a map", &list)),
+        }
+    }
+
+    /// Equal to one of these, of which some are no constants.
+    fn is_one_of(&mut self, node: Node, items: Vec<Node>, span: Range<usize>) -> Res<Node> {
+        // Held once, under a name that no text can hold.
+        let name = format!("in {}", self.slots);
+        let path = self.path(&node);
+        let slot = self.declare(&name, &node, path, None, span.clone(), 1)?;
+        let held = Node::new(Kind::Local(slot), node.ty.clone(), node.bound, node.span.clone());
+        let tests = items.into_iter().map(|item| {
+            let span = item.span.clone();
+            self.binary(Binary::Equal, held.clone(), item, span)
+        });
+        let tests = tests.collect::<Res<Vec<Node>>>()?;
+        self.close(slot);
+        let any = Node::new(Kind::Or(tests), Type::Bool, Bound::default(), span.clone());
+        Ok(Node::new(Kind::Let(slot, node.into(), any.into()), Type::Bool, Bound::default(), span))
+    }
+
+    fn binary(&mut self, operator: Binary, a: Node, b: Node, span: Range<usize>) -> Res<Node> {
+        use Type::{Double, Duration, Int, Ip, Text};
+        let sign = operator.sign();
+        let fit = |ty: Type, bound: Bound, a: Node, b: Node| {
+            Ok(Node::new(Kind::Binary(operator, a.into(), b.into()), ty, bound, span.clone()))
+        };
+        let none = Bound::default();
+        let (ta, tb) = (a.ty.clone(), b.ty.clone());
+        match operator {
+            Binary::Equal | Binary::Unequal => {
+                if ta == tb && matches!(ta, Type::Bool | Int | Double | Text | Duration | Ip) {
+                    return fit(Type::Bool, none, a, b);
+                }
+            }
+            Binary::Less | Binary::LessEqual | Binary::Greater | Binary::GreaterEqual => {
+                if ta == tb && matches!(ta, Int | Double | Text | Duration) {
+                    return fit(Type::Bool, none, a, b);
+                }
+            }
+            Binary::Add if ta == Text && tb == Text => {
+                let bytes = a.bound.bytes.saturating_add(b.bound.bytes);
+                if bytes > MOST_MADE {
+                    let problem = format!("this may make a text of {bytes} bytes, {MOST_MADE} are the most");
+                    return Err(Error::new(span, problem));
+                }
+                return fit(Text, bounded(bytes, 0), a, b);
+            }
+            Binary::Add | Binary::Subtract => {
+                if ta == tb && matches!(ta, Int | Double | Duration) {
+                    return fit(ta, none, a, b);
+                }
+            }
+            Binary::Multiply => match (&ta, &tb) {
+                (Int, Int) | (Double, Double) => return fit(ta, none, a, b),
+                (Duration, Int) | (Int, Duration) => return fit(Duration, none, a, b),
+                _ => {}
+            },
+            Binary::Divide => match (&ta, &tb) {
+                (Int, Int) | (Double, Double) => return fit(ta, none, a, b),
+                (Duration, Int) => return fit(Duration, none, a, b),
+                _ => {}
+            },
+            Binary::Remainder => {
+                if ta == Int && tb == Int {
+                    return fit(Int, none, a, b);
+                }
+            }
+            Binary::In => {}
+        }
+        let error =
+            Error::new(span, format!("`{sign}` does not go between {} and {}", article(&ta), article(&tb)));
+        Err(match (&ta, &tb) {
+            (Type::Optional(_), _) | (_, Type::Optional(_)) => {
+                error.help("ask has() first, or give a default with .orValue()")
+            }
+            (Int, Double) | (Double, Int) => error.help("double(x) makes a whole number one with a fraction"),
+            (Text, Int) | (Int, Text) => error.help("int(x).orValue(0) reads a number, string(x) writes one"),
+            (Text, Ip) | (Ip, Text) => error.help("ip(x) reads an address"),
+            (Text, Duration) | (Duration, Text) => error.help("duration(\"250ms\") is a duration"),
+            _ => error.help("both sides must be of one type"),
+        })
+    }
+
+    fn list(&mut self, parts: &[Tree], span: Range<usize>, facts: &Facts) -> Res<Node> {
+        let items = parts.iter().map(|part| self.check(part, facts)).collect::<Res<Vec<Node>>>()?;
+        constant_list(items, span)
+    }
+
+    fn map(&mut self, pairs: &[(Tree, Tree)], span: Range<usize>, facts: &Facts) -> Res<Node> {
+        let mut map = RapidHashMap::default();
+        let mut ty: Option<Type> = None;
+        for (key, value) in pairs {
+            let (key, value) = (self.check(key, facts)?, self.check(value, facts)?);
+            let Some(text) = key.as_text().cloned() else {
+                return Err(Error::new(key.span, "a map's key is a text that is written out"));
+            };
+            let Some(constant) = value.as_const().cloned() else {
+                return Err(Error::new(value.span, "a map holds constants only"));
+            };
+            match &ty {
+                Some(ty) if *ty != value.ty => return Err(mismatch(&value.span, &ty.to_string(), &value)),
+                Some(_) => {}
+                None if !matches!(value.ty, Type::List(_) | Type::Map(_)) => ty = Some(value.ty.clone()),
+                None => return Err(Error::new(value.span, "a map does not hold lists or maps")),
+            }
+            if map.insert(text.clone(), constant).is_some() {
+                return Err(Error::new(key.span, format!("{:?} stands twice", short(&text))));
+            }
+        }
+        Ok(Node::constant(Const::Map(ty.unwrap_or(Type::Text), Arc::new(map)), span))
+    }
+
+    fn arity(&self, name: &str, args: &[Tree], want: &[usize], span: &Range<usize>) -> Res<()> {
+        if want.contains(&args.len()) {
+            return Ok(());
+        }
+        let told: Vec<String> = want.iter().map(usize::to_string).collect();
+        let problem = format!("`{name}` has {} arguments", args.len());
+        Err(Error::new(span.clone(), problem).help(format!("{} was expected", told.join(" or "))))
+    }
+
+    fn call(&mut self, name: &str, args: &[Tree], span: Range<usize>, facts: &Facts) -> Res<Node> {
+        let one = &[1][..];
+        let plain = Bound::default();
+        match name {
+            "has" => {
+                self.arity(name, args, one, &span)?;
+                let node = self.check(&args[0], facts)?;
+                Ok(match &node.kind {
+                    // Known to be there.
+                    Kind::Sure(_) => Node::constant(Const::Bool(true), span),
+                    _ if matches!(node.ty, Type::Optional(_)) => {
+                        Node::new(Kind::Has(node.into()), Type::Bool, plain, span)
+                    }
+                    _ => {
+                        return Err(Error::new(node.span, "this is always there")
+                            .help("has() is for what may be absent"))
+                    }
+                })
+            }
+            "size" => {
+                self.arity(name, args, one, &span)?;
+                let of = self.check(&args[0], facts)?;
+                self.size(of, span)
+            }
+            "int" | "double" | "string" | "ip" => {
+                self.arity(name, args, one, &span)?;
+                let a = self.check(&args[0], facts)?;
+                self.convert(name, a, span)
+            }
+            "duration" => {
+                self.arity(name, args, one, &span)?;
+                let a = self.check(&args[0], facts)?;
+                let Some(text) = a.as_text() else {
+                    return Err(Error::new(a.span, "duration() takes a text that is written out")
+                        .help("x * duration(\"1ms\") makes a duration of a number"));
+                };
+                match duration(text) {
+                    Some(ms) => Ok(Node::constant(Const::Duration(ms), span)),
+                    None => Err(Error::new(a.span.clone(), format!("{:?} is no duration", short(text)))
+                        .help("such as \"250ms\", \"1.5s\", \"2m\" or \"1h30m\"")),
+                }
+            }
+            "hash" => {
+                self.arity(name, args, &[2], &span)?;
+                let a = self.check(&args[0], facts)?;
+                let n = self.check(&args[1], facts)?;
+                self.hash(a, n, span)
+            }
+            "min" | "max" => {
+                self.arity(name, args, &[2], &span)?;
+                let (a, b) = (self.check(&args[0], facts)?, self.check(&args[1], facts)?);
+                if a.ty != b.ty || !matches!(a.ty, Type::Int | Type::Double | Type::Duration) {
+                    let problem = format!("`{name}` does not take {} and {}", article(&a.ty), article(&b.ty));
+                    return Err(Error::new(span, problem).help("two numbers of one type were expected"));
+                }
+                let (func, ty) = (if name == "min" { Func::Min } else { Func::Max }, a.ty.clone());
+                Ok(Node::new(Kind::Call(func, vec![a, b]), ty, plain, span))
+            }
+            _ => {
+                let error = Error::new(span, format!("there is no function `{}`", short(name)));
+                let methods = METHODS.contains(&name);
+                Err(match nearest(name, FUNCTIONS.into_iter()) {
+                    _ if methods => error.help(format!("it is written `x.{name}(...)`")),
+                    Some(near) => error.help(format!("did you mean `{near}`?")),
+                    None => error.help(format!("known are {}", FUNCTIONS[..10].join(", "))),
+                })
+            }
+        }
+    }
+
+    fn size(&mut self, of: Node, span: Range<usize>) -> Res<Node> {
+        if !matches!(of.ty, Type::Text | Type::List(_) | Type::Map(_)) {
+            return Err(mismatch(&of.span, "a string, a list or a map", &of));
+        }
+        Ok(Node::new(Kind::Call(Func::Size, vec![of]), Type::Int, Bound::default(), span))
+    }
+
+    fn convert(&mut self, name: &str, a: Node, span: Range<usize>) -> Res<Node> {
+        let maybe = |ty: Type| Type::Optional(ty.into());
+        let (func, ty, bytes) = match (name, &a.ty) {
+            ("int", Type::Text) => (Func::ToInt, maybe(Type::Int), 0),
+            ("int", Type::Double) => (Func::ToInt, maybe(Type::Int), 0),
+            ("double", Type::Text) => (Func::ToDouble, maybe(Type::Double), 0),
+            ("double", Type::Int) => (Func::ToDouble, Type::Double, 0),
+            ("ip", Type::Text) => match a.as_text().map(|text| text.parse()) {
+                Some(Ok(ip)) => return Ok(Node::constant(Const::Ip(ip), span)),
+                Some(Err(_)) => {
+                    return Err(
+                        Error::new(a.span, "this is no address").help("such as \"10.0.0.1\" or \"fd00::1\"")
+                    )
+                }
+                None => (Func::ToIp, maybe(Type::Ip), 0),
+            },
+            // The longest is a double in full, or an address.
+            ("string", Type::Int | Type::Bool | Type::Ip | Type::Duration) => (Func::ToText, Type::Text, 48),
+            ("string", Type::Double) => (Func::ToText, Type::Text, 344),
+            _ => {
+                let problem = format!("`{name}` does not take {}", article(&a.ty));
+                return Err(Error::new(a.span, problem));
+            }
+        };
+        Ok(Node::new(Kind::Call(func, vec![a]), ty, bounded(bytes, 0), span))
+    }
+
+    fn hash(&mut self, a: Node, n: Node, span: Range<usize>) -> Res<Node> {
+        if a.ty != Type::Text {
+            return Err(mismatch(&a.span, "string", &a));
+        }
+        match n.as_const() {
+            Some(Const::Int(most)) if *most >= 1 && *most <= i64::from(u32::MAX) => {
+                Ok(Node::new(Kind::Call(Func::Hash, vec![a, n]), Type::Int, Bound::default(), span))
+            }
+            _ => Err(Error::new(
+                n.span,
+                "hash(x, n) takes a whole number from 1 to 4294967295 that is written out",
+            )),
+        }
+    }
+
+    fn method(
+        &mut self,
+        of: &Tree,
+        name: &str,
+        args: &[Tree],
+        span: Range<usize>,
+        facts: &Facts,
+    ) -> Res<Node> {
+        let plain = Bound::default();
+        if name == "exists" || name == "all" {
+            return self.looped(of, name == "all", args, span, facts);
+        }
+        let of = self.check(of, facts)?;
+        if name == "orValue" {
+            self.arity(name, args, &[1], &span)?;
+            let default = self.check(&args[0], facts)?;
+            // Known to be there: the default is never used.
+            if let Kind::Sure(_) = &of.kind {
+                return Ok(of);
+            }
+            let Type::Optional(ty) = &of.ty else {
+                return Err(
+                    Error::new(of.span, "this is always there").help(".orValue() is for what may be absent")
+                );
+            };
+            if default.ty != **ty {
+                return Err(mismatch(&default.span, &ty.to_string(), &default));
+            }
+            let (ty, bound) = ((**ty).clone(), larger(of.bound, default.bound));
+            return Ok(Node::new(Kind::OrValue(of.into(), default.into()), ty, bound, span));
+        }
+        let text = |checker: &mut Self, i: usize| -> Res<Node> {
+            let node = checker.check(&args[i], facts)?;
+            if node.ty == Type::Text {
+                Ok(node)
+            } else {
+                Err(mismatch(&node.span, "string", &node))
+            }
+        };
+        if let Type::Optional(_) = &of.ty {
+            return Err(Error::new(of.span.clone(), format!("this is {}", article(&of.ty)))
+                .help("ask has() first, or give a default with .orValue()"));
+        }
+        match (name, &of.ty) {
+            ("size", Type::Text | Type::List(_) | Type::Map(_)) => {
+                self.arity(name, args, &[0], &span)?;
+                self.size(of, span)
+            }
+            ("startsWith" | "endsWith" | "contains", Type::Text) => {
+                self.arity(name, args, &[1], &span)?;
+                let func = match name {
+                    "startsWith" => Func::StartsWith,
+                    "endsWith" => Func::EndsWith,
+                    _ => Func::Contains,
+                };
+                let with = text(self, 0)?;
+                Ok(Node::new(Kind::Call(func, vec![of, with]), Type::Bool, plain, span))
+            }
+            ("matches", Type::Text) => {
+                self.arity(name, args, &[1], &span)?;
+                let pattern = text(self, 0)?;
+                self.matches(of, pattern, span)
+            }
+            ("lowerAscii", Type::Text) => {
+                self.arity(name, args, &[0], &span)?;
+                let bound = of.bound;
+                Ok(Node::new(Kind::Call(Func::LowerAscii, vec![of]), Type::Text, bound, span))
+            }
+            ("split", Type::Text) => {
+                self.arity(name, args, &[1, 2], &span)?;
+                let by = text(self, 0)?;
+                if by.as_text().is_none_or(|by| by.is_empty()) {
+                    return Err(Error::new(
+                        by.span,
+                        "split() takes a text that is written out and not empty",
+                    ));
+                }
+                let most = match args.get(1) {
+                    None => Node::constant(Const::Int(16), span.clone()),
+                    Some(most) => self.check(most, facts)?,
+                };
+                let parts = match most.as_const() {
+                    Some(Const::Int(parts)) if (1..=MOST_PARTS).contains(parts) => *parts as u32,
+                    _ => {
+                        let problem =
+                            format!("the most parts must be a number from 1 to {MOST_PARTS}, written out");
+                        return Err(Error::new(most.span, problem));
+                    }
+                };
+                let bound = bounded(of.bound.bytes, parts);
+                let ty = Type::List(Type::Text.into());
+                Ok(Node::new(Kind::Call(Func::Split, vec![of, by, most]), ty, bound, span))
+            }
+            ("inCidr", Type::Ip) => {
+                self.arity(name, args, &[1], &span)?;
+                let ranges = self.check(&args[0], facts)?;
+                self.in_cidrs(of, ranges, span)
+            }
+            ("milliseconds", Type::Duration) => {
+                self.arity(name, args, &[0], &span)?;
+                Ok(Node::new(Kind::Call(Func::Milliseconds, vec![of]), Type::Int, plain, span))
+            }
+            _ => {
+                let problem = format!("there is no `.{}()` for {}", short(name), article(&of.ty));
+                let error = Error::new(span, problem);
+                Err(match nearest(name, METHODS.into_iter().filter(|m| *m != name)) {
+                    Some(near) => error.help(format!("did you mean `{near}`?")),
+                    None => error,
+                })
+            }
+        }
+    }
+
+    fn matches(&mut self, of: Node, pattern: Node, span: Range<usize>) -> Res<Node> {
+        let Some(text) = pattern.as_text().cloned() else {
+            return Err(Error::new(pattern.span, "a pattern must be written out")
+                .help("a pattern that is computed has no cost that is known before use"));
+        };
+        self.regexes += 1;
+        if self.regexes > MOST_REGEXES {
+            return Err(Error::new(span, format!("more than {MOST_REGEXES} regular expressions")));
+        }
+        if text.len() > MOST_PATTERN {
+            let problem = format!("the pattern has {} bytes, {MOST_PATTERN} are the most", text.len());
+            return Err(Error::new(pattern.span, problem));
+        }
+        if let Err(e) = crate::program::regex(&text) {
+            let problem = match &e {
+                regex::Error::CompiledTooBig(most) => format!("the pattern takes more than {most} bytes"),
+                e => {
+                    let told = e.to_string();
+                    let last = told.lines().last().unwrap_or("it makes no sense").to_string();
+                    format!("the pattern makes no sense: {}", last.trim_start_matches("error: "))
+                }
+            };
+            return Err(Error::new(pattern.span, problem));
+        }
+        Ok(Node::new(Kind::Matches(of.into(), text), Type::Bool, Bound::default(), span))
+    }
+
+    fn in_cidrs(&mut self, of: Node, ranges: Node, span: Range<usize>) -> Res<Node> {
+        let texts: Vec<Arc<str>> = match ranges.as_const() {
+            Some(Const::Text(text)) => vec![text.clone()],
+            Some(Const::List(Type::Text, all)) => all
+                .iter()
+                .filter_map(|c| if let Const::Text(t) = c { Some(t.clone()) } else { None })
+                .collect(),
+            _ => {
+                let error = Error::new(ranges.span, "address ranges must be written out");
+                return Err(error.help("such as \"10.0.0.0/8\", or a list of such"));
+            }
+        };
+        let mut nets = Vec::with_capacity(texts.len());
+        for text in texts {
+            let host = || text.parse::<std::net::IpAddr>().ok().map(IpNet::from);
+            let Some(net) = text.parse::<IpNet>().ok().or_else(host) else {
+                let problem = format!("{:?} is no range of addresses", short(&text));
+                return Err(Error::new(ranges.span, problem).help("such as \"10.0.0.0/8\" or \"fd00::/8\""));
+            };
+            if net.trunc() != net {
+                let problem = format!("{text:?} has bits set beyond its length");
+                return Err(Error::new(ranges.span, problem).help(format!("\"{}\" was meant?", net.trunc())));
+            }
+            nets.push(net);
+        }
+        Ok(Node::new(Kind::InCidrs(of.into(), nets), Type::Bool, Bound::default(), span))
+    }
+
+    fn looped(
+        &mut self,
+        of: &Tree,
+        all: bool,
+        args: &[Tree],
+        span: Range<usize>,
+        facts: &Facts,
+    ) -> Res<Node> {
+        let name = if all { "all" } else { "exists" };
+        self.arity(name, args, &[2], &span)?;
+        let list = self.check(of, facts)?;
+        let Type::List(item) = &list.ty else { return Err(mismatch(&list.span, "a list", &list)) };
+        let What::Name(variable) = &args[0].what else {
+            return Err(
+                Error::new(args[0].span.clone(), "this is no name").help(format!("`x.{name}(y, ...)`"))
+            );
+        };
+        let item = Node::new(Kind::Local(0), (**item).clone(), bounded(list.bound.bytes, 0), span.clone());
+        let slot = self.declare(variable, &item, None, None, args[0].span.clone(), 3)?;
+        let test = self.bool(&args[1], facts)?;
+        self.close(slot);
+        let kind = Kind::Loop { all, slot, list: list.into(), test: test.into() };
+        Ok(Node::new(kind, Type::Bool, Bound::default(), span))
+    }
+
+    /// What holds of the input where a test is true, and where it is false; none: it never is. Each node is
+    /// looked at once: asking for either way by itself would double the work with each `? :` in a test.
+    pub(crate) fn facts(&self, node: &Node) -> [Option<Facts>; 2] {
+        let nothing = || [Some(Facts::default()), Some(Facts::default())];
+        let both = |of: &Node, yes: Fact, no: Fact| match self.path(of) {
+            Some(path) => [Some(Facts::one(path.clone(), yes)), Some(Facts::one(path, no))],
+            None => nothing(),
+        };
+        let texts = |of: &Node, all: BTreeSet<Arc<str>>| {
+            let no = Fact { texts: Texts::NotIn(all.clone()), ..Fact::default() };
+            both(of, Fact { texts: Texts::In(all), ..Fact::default() }, no)
+        };
+        let swapped = |[yes, no]: [Option<Facts>; 2]| [no, yes];
+        match &node.kind {
+            Kind::Const(Const::Bool(value)) => [value.then(Facts::default), (!value).then(Facts::default)],
+            Kind::Not(a) => swapped(self.facts(a)),
+            Kind::And(parts) | Kind::Or(parts) => {
+                let and = matches!(node.kind, Kind::And(_));
+                let (mut all, mut any) = (Some(Facts::default()), None);
+                for part in parts {
+                    let [yes, no] = self.facts(part);
+                    let (each, either) = if and { (yes, no) } else { (no, yes) };
+                    all = all.and_then(|known| known.meet(each?));
+                    any = Facts::join(any, either);
+                }
+                if and {
+                    [all, any]
+                } else {
+                    [any, all]
+                }
+            }
+            Kind::If(test, yes, no) => {
+                let ([when_yes, when_no], yes, no) = (self.facts(test), self.facts(yes), self.facts(no));
+                let met = |when: &Option<Facts>, side: Option<Facts>| when.clone()?.meet(side?);
+                let ([yes_true, yes_false], [no_true, no_false]) = (yes, no);
+                [
+                    Facts::join(met(&when_yes, yes_true), met(&when_no, no_true)),
+                    Facts::join(met(&when_yes, yes_false), met(&when_no, no_false)),
+                ]
+            }
+            Kind::Let(_, _, body) => self.facts(body),
+            Kind::Local(slot) => {
+                let name = self.names.iter().find(|n| n.slot == *slot);
+                name.and_then(|name| name.when.clone()).unwrap_or_else(nothing)
+            }
+            Kind::Has(of) => {
+                let there = |present| Fact { present: Some(present), ..Fact::default() };
+                both(of, there(true), there(false))
+            }
+            Kind::Binary(operator @ (Binary::Equal | Binary::Unequal), a, b) => {
+                let (of, text) = match (a.as_text(), b.as_text()) {
+                    (None, Some(text)) => (a, text),
+                    (Some(text), None) => (b, text),
+                    _ => return nothing(),
+                };
+                let known = texts(of, BTreeSet::from([text.clone()]));
+                if *operator == Binary::Equal {
+                    known
+                } else {
+                    swapped(known)
+                }
+            }
+            Kind::InSet(of, Const::TextSet(set)) => texts(of, set.iter().cloned().collect()),
+            Kind::Call(Func::StartsWith, args) => match args[1].as_text() {
+                Some(text) => both(
+                    &args[0],
+                    begins(std::slice::from_ref(text), true),
+                    begins(std::slice::from_ref(text), false),
+                ),
+                None => nothing(),
+            },
+            Kind::BeginsWithAny(of, all) => both(of, begins(all, true), begins(all, false)),
+            _ => nothing(),
+        }
+    }
+}
+
+/// Most values that are told apart of one expression.
+const MOST_LEAVES: usize = 512;
+
+/// A value that an expression may have, and what is known of the input where it has it.
+pub(crate) enum Leaf {
+    Const(Const),
+    /// The value of this place of the input.
+    Place(Path),
+    Unknown,
+}
+
+pub(crate) type Leaves = Vec<(Leaf, Facts, Range<usize>)>;
+
+impl Checker<'_> {
+    /// All values that an expression may have, given what is known; none: too many to tell apart.
+    pub(crate) fn leaves(&self, node: &Node, facts: &Facts) -> Option<Leaves> {
+        let mut found = Vec::new();
+        self.gather(node, facts.clone(), &mut Vec::new(), &mut found)?;
+        Some(found)
+    }
+
+    fn gather<'n>(
+        &self,
+        node: &'n Node,
+        facts: Facts,
+        lets: &mut Vec<(u16, &'n Node)>,
+        found: &mut Leaves,
+    ) -> Option<()> {
+        if found.len() >= MOST_LEAVES {
+            return None;
+        }
+        let span = node.span.clone();
+        let with = |known: &Facts, path: Option<Path>, fact: Fact| match path {
+            Some(path) => known.clone().meet(Facts::one(path, fact)),
+            None => Some(known.clone()),
+        };
+        match &node.kind {
+            Kind::If(test, yes, no) => {
+                let [when_yes, when_no] = self.facts(test);
+                for (when, side) in [(when_yes, yes), (when_no, no)] {
+                    if let Some(known) = when.and_then(|when| facts.clone().meet(when)) {
+                        self.gather(side, known, lets, found)?;
+                    }
+                }
+            }
+            Kind::Let(slot, value, body) => {
+                lets.push((*slot, value));
+                self.gather(body, facts, lets, found)?;
+            }
+            Kind::Local(slot) => match lets.iter().find(|(s, _)| s == slot) {
+                Some((_, value)) => self.gather(value, facts, lets, found)?,
+                None => found.push((Leaf::Unknown, facts, span)),
+            },
+            Kind::Sure(of) => self.gather(of, facts, lets, found)?,
+            Kind::OrValue(of, default) => match &of.kind {
+                // A table that is written out: each of its values where the key is that value's.
+                Kind::Lookup(map, key) if map.as_const().is_some() => {
+                    let Some(Const::Map(_, map)) = map.as_const() else { return None };
+                    let path = self.path(key);
+                    let mut entries: Vec<_> = map.iter().collect();
+                    entries.sort_by(|a, b| a.0.cmp(b.0));
+                    for (name, value) in entries {
+                        let is = Fact { texts: Texts::In(BTreeSet::from([name.clone()])), ..Fact::default() };
+                        if let Some(known) = with(&facts, path.clone(), is) {
+                            found.push((Leaf::Const(value.clone()), known, span.clone()));
+                        }
+                    }
+                    let not = Fact { texts: Texts::NotIn(map.keys().cloned().collect()), ..Fact::default() };
+                    if let Some(known) = with(&facts, path, not) {
+                        self.gather(default, known, lets, found)?;
+                    }
+                }
+                _ => {
+                    let path = self.path(of);
+                    let there = |present| Fact { present: Some(present), ..Fact::default() };
+                    if let Some(known) = with(&facts, path.clone(), there(true)) {
+                        let leaf = path.clone().map_or(Leaf::Unknown, Leaf::Place);
+                        found.push((leaf, known, of.span.clone()));
+                    }
+                    if let Some(known) = with(&facts, path, there(false)) {
+                        self.gather(default, known, lets, found)?;
+                    }
+                }
+            },
+            Kind::Const(value) => found.push((Leaf::Const(value.clone()), facts, span)),
+            _ => {
+                let leaf = self.path(node).map_or(Leaf::Unknown, Leaf::Place);
+                found.push((leaf, facts, span));
+            }
+        }
+        (found.len() <= MOST_LEAVES).then_some(())
+    }
+}
+
+fn begins(all: &[Arc<str>], polarity: bool) -> Fact {
+    let set = all.iter().cloned().collect();
+    match polarity {
+        true => Fact { prefixes: Some(set), ..Fact::default() },
+        false => Fact { not_prefixes: set, ..Fact::default() },
+    }
+}
+
+/// What a place is tested for.
+enum Tested {
+    One(Vec<Arc<str>>),
+    Begin(Vec<Arc<str>>),
+}
+
+impl Tested {
+    /// Takes in more of the same kind; false: it is of the other.
+    fn take(&mut self, more: Tested) -> bool {
+        match (self, more) {
+            (Tested::One(texts), Tested::One(more)) | (Tested::Begin(texts), Tested::Begin(more)) => {
+                texts.extend(more);
+                true
+            }
+            _ => false,
+        }
+    }
+}
+
+fn constant_list(items: Vec<Node>, span: Range<usize>) -> Res<Node> {
+    let mut values = Vec::with_capacity(items.len());
+    let mut ty: Option<Type> = None;
+    for node in items {
+        let Some(value) = node.as_const().cloned() else {
+            return Err(Error::new(node.span, "a list holds constants only")
+                .help("what is not one may stand in a list right behind `in`"));
+        };
+        match &ty {
+            Some(ty) if *ty != node.ty => return Err(mismatch(&node.span, &ty.to_string(), &node)),
+            Some(_) => {}
+            None if !matches!(node.ty, Type::List(_) | Type::Map(_)) => ty = Some(node.ty),
+            None => return Err(Error::new(node.span, "a list does not hold lists or maps")),
+        }
+        values.push(value);
+    }
+    Ok(Node::constant(Const::List(ty.unwrap_or(Type::Text), values.into()), span))
+}
+
+fn larger(a: Bound, b: Bound) -> Bound {
+    bounded(a.bytes.max(b.bytes), a.items.max(b.items))
+}
+
+/// `a.b.c` as a text.
+fn dotted(tree: &Tree) -> Option<String> {
+    match &tree.what {
+        What::Name(name) => Some(name.clone()),
+        What::Member(of, member) => Some(format!("{}.{member}", dotted(of)?)),
+        _ => None,
+    }
+}
+
+/// `1h30m`, `1.5s`, `250ms`, with a sign in front as one likes; in whole ms.
+pub(crate) fn duration(text: &str) -> Option<i64> {
+    let (sign, mut rest) = match text.strip_prefix('-') {
+        Some(rest) => (-1.0, rest),
+        None => (1.0, text),
+    };
+    if rest.is_empty() || rest.len() > 32 {
+        return None;
+    }
+    let mut ms = 0.0;
+    while !rest.is_empty() {
+        let digits = rest.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+        let number: f64 = rest[..digits].parse().ok()?;
+        rest = &rest[digits..];
+        let (unit, factor) = [("ms", 1.0), ("s", 1e3), ("m", 6e4), ("h", 3.6e6)]
+            .into_iter()
+            .find(|(unit, _)| rest.starts_with(unit))?;
+        ms += number * factor;
+        rest = &rest[unit.len()..];
+    }
+    (ms <= MOST_DURATION).then_some((sign * ms).round() as i64)
+}
+
+/// Constants as a set, for a look-up.
+impl Const {
+    pub(crate) fn texts(all: Vec<Arc<str>>) -> Const {
+        Const::TextSet(Arc::new(all.into_iter().collect()))
+    }
+}
--- /dev/null
+++ b/crates/expr/src/facts.rs
@@ -0,0 +1,265 @@
+//! What is known of the input where an expression is read: which fields are there, which texts they may be,
+//! how they begin. It owns the joining of what holds on either of two ways, and the meeting of what holds on
+//! both. It must never claim more than holds for every input: narrowing, effects and the index over rules rest
+//! on it.
+
+use crate::schema::FieldId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Most texts that are kept of one place; beyond that less is known.
+const MOST_TEXTS: usize = 8192;
+
+/// A place whose value facts can be about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Path {
+    /// A field.
+    Field(FieldId),
+    /// An entry of a map by its key.
+    Key(FieldId, String),
+    /// An item of a list by its place.
+    Item(FieldId, i64),
+    /// A `let` of the expression itself.
+    Local(u16),
+}
+
+type TextSet = BTreeSet<Arc<str>>;
+
+/// Which texts a place may hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Texts {
+    /// One of these.
+    In(TextSet),
+    /// None of these.
+    NotIn(TextSet),
+}
+
+/// What is known of one place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fact {
+    /// Whether it is there.
+    pub present: Option<bool>,
+    /// Which texts it may hold.
+    pub texts: Texts,
+    /// It begins with one of these.
+    pub prefixes: Option<TextSet>,
+    /// It begins with none of these.
+    pub not_prefixes: TextSet,
+}
+
+impl Default for Fact {
+    fn default() -> Fact {
+        let texts = Texts::NotIn(TextSet::new());
+        Fact { present: None, texts, prefixes: None, not_prefixes: TextSet::new() }
+    }
+}
+
+impl Fact {
+    fn known_prefixes(&self) -> Option<&TextSet> {
+        match &self.texts {
+            Texts::In(texts) => Some(texts),
+            Texts::NotIn(_) => self.prefixes.as_ref(),
+        }
+    }
+
+    /// What holds on both of two ways.
+    fn join(self, other: Fact) -> Option<Fact> {
+        let prefixes = match (self.known_prefixes(), other.known_prefixes()) {
+            // The texts say it all.
+            _ if matches!((&self.texts, &other.texts), (Texts::In(_), Texts::In(_))) => None,
+            (Some(a), Some(b)) if a.len() + b.len() <= MOST_TEXTS => Some(a.union(b).cloned().collect()),
+            _ => None,
+        };
+        let not_prefixes = match (&self.texts, &other.texts) {
+            // A set of texts excludes the prefixes that none of them has.
+            (Texts::In(texts), _) => without(&other.not_prefixes, texts, &self.not_prefixes),
+            (_, Texts::In(texts)) => without(&self.not_prefixes, texts, &other.not_prefixes),
+            _ => self.not_prefixes.intersection(&other.not_prefixes).cloned().collect(),
+        };
+        let texts = match (self.texts, other.texts) {
+            (Texts::In(mut a), Texts::In(mut b)) => {
+                if a.len() < b.len() {
+                    std::mem::swap(&mut a, &mut b);
+                }
+                a.extend(b);
+                Texts::In(a)
+            }
+            (Texts::In(a), Texts::NotIn(b)) | (Texts::NotIn(b), Texts::In(a)) => {
+                Texts::NotIn(b.difference(&a).cloned().collect())
+            }
+            (Texts::NotIn(a), Texts::NotIn(b)) => Texts::NotIn(a.intersection(&b).cloned().collect()),
+        };
+        let texts = match texts {
+            Texts::In(all) if all.len() > MOST_TEXTS => Texts::NotIn(TextSet::new()),
+            texts => texts,
+        };
+        let present = if self.present == other.present { self.present } else { None };
+        let fact = Fact { present, texts, prefixes, not_prefixes };
+        (fact != Fact::default()).then_some(fact)
+    }
+
+    /// What holds where both are known; none: nothing can be both.
+    fn meet(self, other: Fact) -> Option<Fact> {
+        let present = match (self.present, other.present) {
+            (Some(a), Some(b)) if a != b => return None,
+            (a, b) => a.or(b),
+        };
+        let texts = match (self.texts, other.texts) {
+            (Texts::In(a), Texts::In(b)) => Texts::In(a.intersection(&b).cloned().collect()),
+            (Texts::In(a), Texts::NotIn(b)) | (Texts::NotIn(b), Texts::In(a)) => {
+                Texts::In(a.difference(&b).cloned().collect())
+            }
+            (Texts::NotIn(mut a), Texts::NotIn(b)) => {
+                a.extend(b);
+                Texts::NotIn(a)
+            }
+        };
+        let mut not_prefixes = self.not_prefixes;
+        not_prefixes.extend(other.not_prefixes);
+        // Either set holds; the smaller one says more.
+        let prefixes = match (self.prefixes, other.prefixes) {
+            (Some(a), Some(b)) => Some(if a.len() <= b.len() { a } else { b }),
+            (a, b) => a.or(b),
+        };
+        let texts = match texts {
+            Texts::In(mut all) => {
+                let begins = |text: &str, with: &TextSet| with.iter().any(|p| text.starts_with(&**p));
+                all.retain(|text| prefixes.as_ref().is_none_or(|p| begins(text, p)));
+                all.retain(|text| !begins(text, &not_prefixes));
+                if all.is_empty() {
+                    return None;
+                }
+                Texts::In(all)
+            }
+            texts => texts,
+        };
+        Some(Fact { present, texts, prefixes, not_prefixes })
+    }
+
+    /// Whether a place that this is known of cannot begin with `prefix`.
+    pub fn never_begins(&self, prefix: &str) -> bool {
+        if self.not_prefixes.iter().any(|p| prefix.starts_with(&**p)) {
+            return true;
+        }
+        let apart = |known: &str| !known.starts_with(prefix) && !prefix.starts_with(known);
+        match &self.texts {
+            Texts::In(texts) => texts.iter().all(|text| !text.starts_with(prefix)),
+            Texts::NotIn(_) => self.prefixes.as_ref().is_some_and(|all| all.iter().all(|p| apart(p))),
+        }
+    }
+}
+
+fn without(excluded: &TextSet, texts: &TextSet, too: &TextSet) -> TextSet {
+    let kept = |p: &&Arc<str>| too.contains(*p) || texts.iter().all(|text| !text.starts_with(&***p));
+    excluded.iter().filter(kept).cloned().collect()
+}
+
+/// What is known of the input.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Facts(BTreeMap<Path, Fact>);
+
+impl Facts {
+    /// One fact.
+    pub(crate) fn one(path: Path, fact: Fact) -> Facts {
+        Facts(BTreeMap::from([(path, fact)]))
+    }
+
+    /// What is known of a place, if anything.
+    pub fn get(&self, path: &Path) -> Option<&Fact> {
+        self.0.get(path)
+    }
+
+    /// All places of which something is known.
+    pub fn iter(&self) -> impl Iterator<Item = (&Path, &Fact)> {
+        self.0.iter()
+    }
+
+    /// Whether a place is known to be there.
+    pub fn present(&self, path: &Path) -> bool {
+        self.get(path).is_some_and(|fact| fact.present == Some(true))
+    }
+
+    /// Whether a place is known to be absent.
+    pub fn absent(&self, path: &Path) -> bool {
+        self.get(path).is_some_and(|fact| fact.present == Some(false))
+    }
+
+    /// The texts that a place holds one of, if that is known.
+    pub fn texts(&self, path: &Path) -> Option<impl Iterator<Item = &str>> {
+        match &self.get(path)?.texts {
+            Texts::In(texts) => Some(texts.iter().map(|text| &**text)),
+            Texts::NotIn(_) => None,
+        }
+    }
+
+    /// What holds on both of two ways, of which none stands for one that nothing takes.
+    pub(crate) fn join(a: Option<Facts>, b: Option<Facts>) -> Option<Facts> {
+        let (a, mut b) = match (a, b) {
+            (Some(a), Some(b)) => (a, b),
+            (a, b) => return a.or(b),
+        };
+        let joined = a.0.into_iter().filter_map(|(path, fact)| {
+            let other = b.0.remove(&path)?;
+            Some((path, fact.join(other)?))
+        });
+        Some(Facts(joined.collect()))
+    }
+
+    /// What holds where both hold; none: nowhere.
+    pub fn meet(self, other: Facts) -> Option<Facts> {
+        let (mut large, small) = if self.0.len() < other.0.len() { (other, self) } else { (self, other) };
+        for (path, fact) in small.0 {
+            let fact = match large.0.remove(&path) {
+                Some(known) => known.meet(fact)?,
+                None => fact,
+            };
+            large.0.insert(path, fact);
+        }
+        Some(large)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PLACE: Path = Path::Field(FieldId(0));
+
+    fn texts(all: &[&str]) -> TextSet {
+        all.iter().map(|t| Arc::from(*t)).collect()
+    }
+
+    fn fact(texts: Texts) -> Facts {
+        Facts::one(PLACE, Fact { texts, ..Fact::default() })
+    }
+
+    fn begins(with: &[&str]) -> Facts {
+        Facts::one(PLACE, Fact { prefixes: Some(texts(with)), ..Fact::default() })
+    }
+
+    #[test]
+    fn texts_join_and_meet() {
+        let (ab, bc) = (fact(Texts::In(texts(&["a", "b"]))), fact(Texts::In(texts(&["b", "c"]))));
+        let listed = |facts: Facts| facts.texts(&PLACE).unwrap().collect::<String>();
+        assert_eq!(listed(Facts::join(Some(ab.clone()), Some(bc.clone())).unwrap()), "abc");
+        assert_eq!(listed(ab.clone().meet(bc).unwrap()), "b");
+        let not_b = fact(Texts::NotIn(texts(&["b"])));
+        assert_eq!(listed(ab.clone().meet(not_b.clone()).unwrap()), "a");
+        assert_eq!(fact(Texts::In(texts(&["b"]))).meet(not_b.clone()), None);
+        // What one way excludes and the other allows is not excluded.
+        assert_eq!(Facts::join(Some(ab.clone()), Some(not_b)).unwrap().get(&PLACE), None);
+        assert_eq!(Facts::join(Some(ab.clone()), None), Some(ab));
+    }
+
+    #[test]
+    fn prefixes_join_with_texts_and_tell_what_is_apart() {
+        let joined = Facts::join(Some(begins(&["/a/"])), Some(fact(Texts::In(texts(&["/b"]))))).unwrap();
+        let fact = joined.get(&PLACE).unwrap();
+        assert!(fact.never_begins("/c") && !fact.never_begins("/a/x") && !fact.never_begins("/"));
+        // "/b" itself may be it, but nothing longer; what is known is a beginning only, so that is not told.
+        assert!(!fact.never_begins("/b/"));
+        let not = Facts::one(PLACE, Fact { not_prefixes: texts(&["/a"]), ..Fact::default() });
+        assert!(not.get(&PLACE).unwrap().never_begins("/ab") && !not.get(&PLACE).unwrap().never_begins("/"));
+        assert_eq!(not.meet(super::tests::fact(Texts::In(texts(&["/ab"])))), None);
+    }
+}
