crates/routes: ordered rules for commands, pools, local limits, notes and refusals

What decides where a request belongs was a fixed path and fixed headers. The crate reads a file of rules whole, names every fault with line and column, and takes a request and a time to a verdict.

Not used by the ingress yet, whose binary is unchanged.

--- a/crates/expr/src/error.rs
+++ b/crates/expr/src/error.rs
@@ -52,6 +52,11 @@
         Error { span, problem: problem.into(), help: None, place: Place::default() }
     }
 
+    /// A fault at these bytes of a text that holds more than an expression.
+    pub fn at(span: Range<usize>, problem: impl Into<String>, help: Option<String>) -> Error {
+        Error { help, ..Error::new(span, problem) }
+    }
+
     /// With what was expected, or how to mend it.
     pub(crate) fn help(mut self, help: impl Into<String>) -> Error {
         self.help = Some(help.into());
@@ -59,7 +64,7 @@
     }
 
     /// Finds the fault's line and column in the text that it is about.
-    pub(crate) fn located(mut self, text: &str) -> Error {
+    pub fn located(mut self, text: &str) -> Error {
         let whole = |mut at: usize| {
             at = at.min(text.len());
             while !text.is_char_boundary(at) {
@@ -142,7 +147,7 @@
     if wrong.len() > 64 {
         return None;
     }
-    let most = (wrong.chars().count() / 3).max(1);
+    let most = (wrong.chars().count() / 3).clamp(1, 2);
     known
         .map(|name| (strsim::damerau_levenshtein(wrong, name), name))
         .filter(|(distance, _)| *distance <= most)
--- a/crates/expr/src/schema.rs
+++ b/crates/expr/src/schema.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::IpAddr;
+use std::sync::Arc;
 
 /// The type of a value.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,10 +72,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FieldId(pub u16);
 
-/// All fields of one kind of input.
+/// All fields of one kind of input. Clones share them.
 #[derive(Clone, Debug, Default)]
-pub struct Schema {
-    fields: Vec<Field>,
+pub struct Schema(Arc<Fields>);
+
+#[derive(Clone, Debug, Default)]
+struct Fields {
+    list: Vec<Field>,
     by_name: HashMap<String, FieldId>,
 }
 
@@ -97,30 +101,31 @@
     }
 
     fn add(mut self, name: &str, ty: Type, optional: bool, bound: Bound) -> Schema {
-        let id = FieldId(self.fields.len() as u16);
-        self.by_name.insert(name.to_string(), id);
-        self.fields.push(Field { name: name.to_string(), ty, optional, bound });
+        let fields = Arc::make_mut(&mut self.0);
+        let id = FieldId(fields.list.len() as u16);
+        fields.by_name.insert(name.to_string(), id);
+        fields.list.push(Field { name: name.to_string(), ty, optional, bound });
         self
     }
 
     /// A field's number by its name.
     pub fn id(&self, name: &str) -> Option<FieldId> {
-        self.by_name.get(name).copied()
+        self.0.by_name.get(name).copied()
     }
 
     /// A field by its number.
     pub fn get(&self, id: FieldId) -> Option<&Field> {
-        self.fields.get(usize::from(id.0))
+        self.0.list.get(usize::from(id.0))
     }
 
     /// All fields in order.
     pub fn fields(&self) -> &[Field] {
-        &self.fields
+        &self.0.list
     }
 
     /// Whether fields begin with `name` and a dot.
     pub(crate) fn is_space(&self, name: &str) -> bool {
-        self.fields.iter().any(|f| f.name.strip_prefix(name).is_some_and(|rest| rest.starts_with('.')))
+        self.0.list.iter().any(|f| f.name.strip_prefix(name).is_some_and(|rest| rest.starts_with('.')))
     }
 }
 
--- /dev/null
+++ b/crates/routes/src/lib.rs
@@ -0,0 +1,29 @@
+//! Ordered rules that decide where a request belongs before anything else is decided about it: which command it
+//! is, which pool of instances may serve it, which local limits it must pass, what is noted on it, and whether
+//! it is turned away at once.
+//!
+//! [`Rules::read`] judges a file whole and names every fault; [`Router::route`] takes a request and a time. The
+//! rules are expressions of `driftgap-expr`, so that what a request can cost is known when the file is read, and
+//! so is which class it can get: a rule that could make a request with an effect safe to repeat is refused.
+//!
+//! It does no I/O and reads no clock. Which instance of a pool serves a request is not decided here.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod effect;
+mod file;
+mod limit;
+mod request;
+mod route;
+mod rules;
+
+pub use effect::{Effect, COMMANDS};
+pub use file::Fault;
+pub use limit::{Allowance, Limit, Ticket};
+pub use request::{
+    bound, instance_schema, request_schema, Headers, Instance, NoHeaders, Request, MOST_HEADER, MOST_HEADERS,
+    MOST_LABELS, MOST_NAME, MOST_PATH,
+};
+pub use route::{Explained, Mapped, Route, Router, Verdict, ALL};
+pub use rules::{Catalog, Rules, ANY, MOST_FILE, MOST_POOLS, MOST_RULES};
--- /dev/null
+++ b/crates/routes/src/request.rs
@@ -0,0 +1,308 @@
+//! What rules may read of a request and of an instance: the names, their types, how long each gets. It owns the
+//! two schemas and the views through which values come. It must never copy a value, nor hand on one that is
+//! longer than its bound: costs are computed from the bounds.
+
+use driftgap_expr::{Bound, FieldId, Input, Schema, Type, Value};
+use std::cell::Cell;
+use std::net::IpAddr;
+
+/// Longest path, bytes; longer ones are turned away before any rule.
+pub const MOST_PATH: usize = 1024;
+/// Longest header value that a rule may read, bytes.
+pub const MOST_HEADER: usize = 512;
+/// Most headers.
+pub const MOST_HEADERS: usize = 100;
+/// Longest of the other texts, bytes: host, query, partner, id, class, plan.
+pub const MOST_NAME: usize = 128;
+/// Most labels of an instance, and the longest value of one.
+pub const MOST_LABELS: usize = 32;
+
+/// The headers of a request, by name in lower case.
+pub trait Headers {
+    /// The value of the first header of this name, as it came.
+    fn get(&self, name: &str) -> Option<&[u8]>;
+    /// How many headers there are.
+    fn count(&self) -> usize;
+}
+
+/// A request without headers.
+pub struct NoHeaders;
+
+impl Headers for NoHeaders {
+    fn get(&self, _: &str) -> Option<&[u8]> {
+        None
+    }
+
+    fn count(&self) -> usize {
+        0
+    }
+}
+
+/// A request as rules see it, whatever wire it came by.
+pub struct Request<'a> {
+    /// `resp` or `http2`.
+    pub protocol: &'a str,
+    /// The method in capitals; over RESP `GET` for a query and `POST` for what may have an effect.
+    pub method: &'a str,
+    /// The path without the query; over RESP `/commands/CLASS`.
+    pub path: &'a str,
+    /// What stands behind `?`.
+    pub query: Option<&'a str>,
+    /// The host that was asked for.
+    pub host: Option<&'a str>,
+    /// The headers.
+    pub headers: &'a dyn Headers,
+    /// The class that the client names itself.
+    pub class: Option<&'a str>,
+    /// The plan that the client names itself.
+    pub plan: Option<&'a str>,
+    /// The partner that the client names itself.
+    pub partner: Option<&'a str>,
+    /// The id that the client names itself.
+    pub id: Option<&'a str>,
+    /// The units that the client names itself.
+    pub units: Option<f64>,
+    /// How long the client says that it waits, ms.
+    pub deadline_ms: Option<i64>,
+    /// The client marks it as a repeat.
+    pub retry: bool,
+    /// The body's length where it is told ahead.
+    pub length: Option<i64>,
+    /// The client's address.
+    pub client: IpAddr,
+}
+
+/// Numbers of the request's fields that rules are judged by.
+pub(crate) mod field {
+    use driftgap_expr::FieldId;
+    pub const METHOD: FieldId = FieldId(1);
+    pub const PATH: FieldId = FieldId(2);
+    pub const PLAN: FieldId = FieldId(7);
+    pub const PARTNER: FieldId = FieldId(8);
+    pub const ID: FieldId = FieldId(9);
+    pub const UNITS: FieldId = FieldId(10);
+}
+
+/// What rules may read of a request, in the order of [`field`].
+pub fn request_schema() -> Schema {
+    let (name, path) = (MOST_NAME as u32, MOST_PATH as u32);
+    Schema::new()
+        .field("request.protocol", Type::Text, 8, 0)
+        .field("request.method", Type::Text, 16, 0)
+        .field("request.path", Type::Text, path, 0)
+        .optional("request.query", Type::Text, path, 0)
+        .optional("request.host", Type::Text, name, 0)
+        .field("request.headers", Type::Map(Type::Text.into()), MOST_HEADER as u32, MOST_HEADERS as u32)
+        .optional("request.class", Type::Text, name, 0)
+        .optional("request.plan", Type::Text, name, 0)
+        .optional("request.partner", Type::Text, name, 0)
+        .optional("request.id", Type::Text, name, 0)
+        .optional("request.units", Type::Double, 0, 0)
+        .optional("request.deadline", Type::Duration, 0, 0)
+        .field("request.retry", Type::Bool, 0, 0)
+        .optional("request.length", Type::Int, 0, 0)
+        .field("client.ip", Type::Ip, 0, 0)
+}
+
+impl Request<'_> {
+    /// The first part that is longer than rules may read, if there is one.
+    pub fn too_long(&self) -> Option<&'static str> {
+        let long = |text: Option<&str>, most: usize| text.is_some_and(|t| t.len() > most);
+        let parts = [
+            ("method", long(Some(self.method), 16)),
+            ("path", long(Some(self.path), MOST_PATH)),
+            ("query", long(self.query, MOST_PATH)),
+            ("host", long(self.host, MOST_NAME)),
+            ("class", long(self.class, MOST_NAME)),
+            ("plan", long(self.plan, MOST_NAME)),
+            ("partner", long(self.partner, MOST_NAME)),
+            ("id", long(self.id, MOST_NAME)),
+            ("headers", self.headers.count() > MOST_HEADERS),
+        ];
+        parts.into_iter().find(|(_, long)| *long).map(|(name, _)| name)
+    }
+}
+
+/// A request while rules read it.
+pub(crate) struct View<'a> {
+    pub(crate) request: &'a Request<'a>,
+    /// A header that a rule asked for is no text, or too long: no rule may act as if it were absent.
+    pub(crate) spoilt: Cell<bool>,
+}
+
+impl<'a> View<'a> {
+    pub(crate) fn new(request: &'a Request<'a>) -> View<'a> {
+        View { request, spoilt: Cell::new(false) }
+    }
+}
+
+impl Input for View<'_> {
+    fn get(&self, field: FieldId) -> Option<Value<'_>> {
+        let r = self.request;
+        match field.0 {
+            0 => Some(Value::Text(r.protocol)),
+            1 => Some(Value::Text(r.method)),
+            2 => Some(Value::Text(r.path)),
+            3 => r.query.map(Value::Text),
+            4 => r.host.map(Value::Text),
+            6 => r.class.map(Value::Text),
+            7 => r.plan.map(Value::Text),
+            8 => r.partner.map(Value::Text),
+            9 => r.id.map(Value::Text),
+            10 => r.units.map(Value::Double),
+            11 => r.deadline_ms.map(Value::Duration),
+            12 => Some(Value::Bool(r.retry)),
+            13 => r.length.map(Value::Int),
+            14 => Some(Value::Ip(r.client)),
+            _ => None,
+        }
+    }
+
+    fn size(&self, field: FieldId) -> Option<usize> {
+        (field.0 == 5).then(|| self.request.headers.count())
+    }
+
+    fn lookup(&self, _: FieldId, key: &str) -> Option<Value<'_>> {
+        let value = self.request.headers.get(key)?;
+        let text = std::str::from_utf8(value).ok().filter(|text| text.len() <= MOST_HEADER);
+        if text.is_none() {
+            self.spoilt.set(true);
+        }
+        text.map(Value::Text)
+    }
+}
+
+/// An instance as pools see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instance<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its zone's name.
+    pub zone: &'a str,
+    /// Its cell.
+    pub cell: u32,
+    /// Its weight beside the other instances.
+    pub weight: f64,
+    /// `resp` or `http2`.
+    pub protocol: &'a str,
+    /// Its address.
+    pub ip: IpAddr,
+    /// What else is kept of it.
+    pub labels: &'a [(String, String)],
+}
+
+/// What pools may read of an instance.
+pub fn instance_schema() -> Schema {
+    let name = MOST_NAME as u32;
+    Schema::new()
+        .field("instance.name", Type::Text, name, 0)
+        .field("instance.zone", Type::Text, name, 0)
+        .field("instance.cell", Type::Int, 0, 0)
+        .field("instance.weight", Type::Double, 0, 0)
+        .field("instance.protocol", Type::Text, 8, 0)
+        .field("instance.ip", Type::Ip, 0, 0)
+        .field("instance.labels", Type::Map(Type::Text.into()), name, MOST_LABELS as u32)
+}
+
+impl Input for Instance<'_> {
+    fn get(&self, field: FieldId) -> Option<Value<'_>> {
+        // A name that is longer than its bound is read as far as that goes.
+        let text = |text| Some(Value::Text(cut(text, MOST_NAME)));
+        match field.0 {
+            0 => text(self.name),
+            1 => text(self.zone),
+            2 => Some(Value::Int(i64::from(self.cell))),
+            3 => Some(Value::Double(self.weight)),
+            4 => Some(Value::Text(self.protocol)),
+            5 => Some(Value::Ip(self.ip)),
+            _ => None,
+        }
+    }
+
+    fn size(&self, field: FieldId) -> Option<usize> {
+        (field.0 == 6).then(|| self.labels.len().min(MOST_LABELS))
+    }
+
+    fn lookup(&self, _: FieldId, key: &str) -> Option<Value<'_>> {
+        let label = self.labels.iter().take(MOST_LABELS).find(|(name, _)| name == key);
+        label.map(|(_, value)| Value::Text(cut(value, MOST_NAME)))
+    }
+}
+
+/// The beginning of a text, in whole characters.
+pub(crate) fn cut(text: &str, most: usize) -> &str {
+    let mut end = text.len().min(most);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
+
+/// The bound of a field, for tests and messages.
+pub fn bound(schema: &Schema, name: &str) -> Option<Bound> {
+    schema.id(name).and_then(|id| schema.get(id)).map(|field| field.bound)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_numbers_of_the_fields_are_those_of_the_schema() {
+        let schema = request_schema();
+        let named = [
+            ("request.method", field::METHOD),
+            ("request.path", field::PATH),
+            ("request.plan", field::PLAN),
+            ("request.partner", field::PARTNER),
+            ("request.id", field::ID),
+            ("request.units", field::UNITS),
+        ];
+        for (name, id) in named {
+            assert_eq!(schema.id(name), Some(id), "{name}");
+        }
+    }
+
+    #[test]
+    fn every_field_has_a_value_of_its_type() {
+        let request = Request {
+            protocol: "http2",
+            method: "GET",
+            path: "/",
+            query: Some("q"),
+            host: Some("h"),
+            headers: &NoHeaders,
+            class: Some("c"),
+            plan: Some("p"),
+            partner: Some("n"),
+            id: Some("i"),
+            units: Some(1.0),
+            deadline_ms: Some(1),
+            retry: true,
+            length: Some(0),
+            client: IpAddr::from([127, 0, 0, 1]),
+        };
+        let labels = [("a".to_string(), "b".to_string())];
+        let ip = IpAddr::from([127, 0, 0, 1]);
+        let instance =
+            Instance { name: "n", zone: "z", cell: 1, weight: 1.0, protocol: "resp", ip, labels: &labels };
+        let view = View::new(&request);
+        let inputs: [(&dyn Input, Schema); 2] = [(&view, request_schema()), (&instance, instance_schema())];
+        for (input, schema) in inputs {
+            for (i, field) in schema.fields().iter().enumerate() {
+                let id = FieldId(i as u16);
+                let fits = matches!(
+                    (input.get(id), input.size(id), &field.ty),
+                    (Some(Value::Text(_)), None, Type::Text)
+                        | (Some(Value::Double(_)), None, Type::Double)
+                        | (Some(Value::Int(_)), None, Type::Int)
+                        | (Some(Value::Bool(_)), None, Type::Bool)
+                        | (Some(Value::Duration(_)), None, Type::Duration)
+                        | (Some(Value::Ip(_)), None, Type::Ip)
+                        | (None, Some(_), Type::Map(_))
+                );
+                assert!(fits, "{}", field.name);
+            }
+        }
+    }
+}
