--- a/crates/expr/src/check.rs
+++ b/crates/expr/src/check.rs
@@ -1037,14 +1037,27 @@
                     (Some(text), None) => (b, text),
                     _ => return nothing(),
                 };
-                let known = texts(of, BTreeSet::from([text.clone()]));
+                let known = match with_default(of) {
+                    // Another text than the default is what is there.
+                    Some((of, default)) if default != text => {
+                        let texts = Texts::In(BTreeSet::from([text.clone()]));
+                        both(of, Fact { present: Some(true), texts, ..Fact::default() }, Fact::default())
+                    }
+                    _ => texts(of, BTreeSet::from([text.clone()])),
+                };
                 if *operator == Binary::Equal {
                     known
                 } else {
                     swapped(known)
                 }
             }
-            Kind::InSet(of, Const::TextSet(set)) => texts(of, set.iter().cloned().collect()),
+            Kind::InSet(of, Const::TextSet(set)) => match with_default(of) {
+                Some((of, default)) if !set.contains(default) => {
+                    let texts = Texts::In(set.iter().cloned().collect());
+                    both(of, Fact { present: Some(true), texts, ..Fact::default() }, Fact::default())
+                }
+                _ => texts(of, set.iter().cloned().collect()),
+            },
             Kind::Call(Func::StartsWith, args) => match args[1].as_text() {
                 Some(text) => both(
                     &args[0],
@@ -1153,6 +1166,14 @@
     }
 }
 
+/// What is optional and read with a default that is written out.
+fn with_default(node: &Node) -> Option<(&Node, &Arc<str>)> {
+    match &node.kind {
+        Kind::OrValue(of, default) => Some((of, default.as_text()?)),
+        _ => None,
+    }
+}
+
 fn begins(all: &[Arc<str>], polarity: bool) -> Fact {
     let set = all.iter().cloned().collect();
     match polarity {
--- a/crates/expr/src/program.rs
+++ b/crates/expr/src/program.rs
@@ -200,7 +200,7 @@
     Value(Const),
     Regex(Regex, u64),
     Cidrs(Vec<IpNet>),
-    Begins(Begins),
+    Begins(Box<Begins>),
 }
 
 /// Beginnings of texts as one automaton.
@@ -436,7 +436,7 @@
             Kind::BeginsWithAny(a, all) => match Begins::new(all) {
                 Some(begins) => {
                     let extra = price::begins(bytes(a), begins.longest as u64);
-                    let at = self.pool(Pool::Begins(begins));
+                    let at = self.pool(Pool::Begins(begins.into()));
                     self.unary(a, Op::BeginsWithAny(at)) + extra
                 }
                 // Too many for one automaton: one by one.
--- a/crates/expr/tests/common/mod.rs
+++ b/crates/expr/tests/common/mod.rs
@@ -99,3 +99,30 @@
         header.map(|(_, value)| Value::Text(value))
     }
 }
+
+/// Takes any text the whole way that one of an operator's can go.
+pub fn whole_way(text: &str) {
+    use driftgap_expr::{Expression, Fault, Origin, Scratch};
+    match Expression::new(text, &schema()) {
+        Err(error) => {
+            let shown = error.render("text", Origin::default());
+            assert!(shown.lines().all(|line| line.chars().count() < 1000), "{shown}");
+        }
+        Ok(expression) => {
+            let request = Request::default();
+            let mut scratch = Scratch::default();
+            let result = expression.eval(&request, &mut scratch).map(|_| ());
+            assert!(
+                matches!(result, Ok(()) | Err(Fault::Overflow | Fault::Zero)) || is_collection(&expression),
+                "{text}"
+            );
+            assert!(scratch.spent() <= expression.cost(), "{text}");
+            let _ = expression.explain(&request);
+        }
+    }
+}
+
+/// Whether its value is a list or a map, which only the inside of an expression has.
+fn is_collection(expression: &driftgap_expr::Expression) -> bool {
+    matches!(expression.ty(), Type::List(_) | Type::Map(_))
+}
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -25,5 +25,5 @@
     bound, instance_schema, request_schema, Headers, Instance, NoHeaders, Request, MOST_HEADER, MOST_HEADERS,
     MOST_LABELS, MOST_NAME, MOST_PATH,
 };
-pub use route::{Explained, Mapped, Route, Router, Verdict, ALL};
+pub use route::{Explained, Mapped, Route, Router, TooSoon, Verdict, ALL};
 pub use rules::{Catalog, Rules, ANY, MOST_FILE, MOST_POOLS, MOST_RULES};
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -4,7 +4,7 @@
 
 use crate::limit::{Limit, Ticket};
 use crate::request::{cut, Instance, Request, View};
-use crate::rules::{Fallback, LimitSpec, Mapping, Rule, Rules, ANY, MOST_AWAY};
+use crate::rules::{Fallback, LimitSpec, Mapping, Pool, Rule, Rules, ANY, MOST_AWAY, MOST_POOLS};
 use driftgap_expr::{Chosen, Expression, Fault, Scratch, Step, Value};
 use std::rc::Rc;
 
@@ -94,11 +94,25 @@
     pub parts: Vec<(String, Vec<Step>)>,
 }
 
+/// A pool of rules that are in force no more, for the commands that began under them.
+struct Retired {
+    bit: u8,
+    when: Expression,
+    until: f64,
+}
+
+/// Rules cannot be replaced yet: commands under way still need the pools of earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the pools of earlier rules still serve commands under way, and with these there would be more than {MOST_POOLS}; read the rules again once they have ended")]
+pub struct TooSoon;
+
 /// Rules in force.
 pub struct Router {
     rules: Rules,
+    /// The bit of each pool.
+    bits: Vec<u8>,
+    retired: Vec<Retired>,
     limits: Vec<Option<Rc<Limit>>>,
-    specs: Vec<LimitSpec>,
     ready: Vec<usize>,
     scratch: Scratch,
     chosen: Chosen,
@@ -106,32 +120,50 @@
 }
 
 impl Router {
-    /// Puts rules in force. Limits that `before` has as well keep their states.
-    pub fn new(rules: Rules, before: Option<&Router>) -> Router {
-        let mut limits = Vec::with_capacity(rules.rules.len());
-        let mut specs = Vec::new();
-        for rule in &rules.rules {
-            limits.push(rule.limit.as_ref().map(|(_, spec)| {
-                specs.push(spec.clone());
-                let kept = before.and_then(|before| before.limit(spec));
-                kept.unwrap_or_else(|| Rc::new(Limit::new(spec.allowance, spec.keys)))
-            }));
-        }
-        let ready = vec![0; rules.pools.len()];
-        Router {
-            rules,
-            limits,
-            specs,
-            ready,
-            scratch: Scratch::default(),
-            chosen: Chosen::default(),
-            faults: 0,
+    /// Puts rules in force.
+    pub fn new(rules: Rules) -> Router {
+        let limits = rules.limits(|_| None);
+        let (bits, ready) = ((0..rules.pools.len() as u8).collect(), vec![0; rules.pools.len()]);
+        let (scratch, chosen) = (Scratch::default(), Chosen::default());
+        Router { rules, bits, retired: Vec::new(), limits, ready, scratch, chosen, faults: 0 }
+    }
+
+    /// Puts other rules in force at `now`, ms. Limits that both have keep their states; pools that both have keep
+    /// their bits, and those that are gone keep them for `longest_ms`, until the last command that began under
+    /// the old rules has ended. Instances must be told their pools anew.
+    ///
+    /// # Errors
+    /// There are too many pools together with those that are still needed; the old rules stay.
+    pub fn replace(&mut self, rules: Rules, now: f64, longest_ms: f64) -> Result<(), TooSoon> {
+        self.retired.retain(|retired| retired.until > now);
+        let same = |a: &Pool, b: &Pool| a.name == b.name && a.when.text() == b.when.text();
+        let old = self.rules.pools.iter().zip(&self.bits);
+        let kept = |pool: &Pool| old.clone().find(|(known, _)| same(known, pool)).map(|(_, bit)| *bit);
+        let mut taken =
+            self.retired.iter().map(|r| r.bit).chain(self.bits.iter().copied()).fold(0, |t, b| t | 1u64 << b);
+        let mut bits = Vec::with_capacity(rules.pools.len());
+        for pool in &rules.pools {
+            let bit = kept(pool).unwrap_or_else(|| taken.trailing_ones() as u8);
+            if usize::from(bit) >= MOST_POOLS {
+                return Err(TooSoon);
+            }
+            taken |= 1 << bit;
+            bits.push(bit);
         }
+        self.limits = rules.limits(|spec| self.limit(spec));
+        self.ready = vec![0; rules.pools.len()];
+        let old = std::mem::replace(&mut self.rules, rules);
+        let gone = old.pools.into_iter().zip(std::mem::replace(&mut self.bits, bits));
+        let until = now + longest_ms;
+        let gone = gone.filter(|(_, bit)| !self.bits.contains(bit));
+        self.retired.extend(gone.map(|(pool, bit)| Retired { bit, when: pool.when, until }));
+        Ok(())
     }
 
     fn limit(&self, spec: &LimitSpec) -> Option<Rc<Limit>> {
-        let mut with = self.limits.iter().flatten().zip(&self.specs);
-        with.find(|(_, held)| *held == spec).map(|(limit, _)| limit.clone())
+        let specs = self.rules.rules.iter().map(|rule| rule.limit.as_ref().map(|(_, spec)| spec));
+        let mut with = specs.zip(&self.limits);
+        with.find(|(held, _)| *held == Some(spec)).and_then(|(_, limit)| limit.clone())
     }
 
     /// The rules.
@@ -152,10 +184,12 @@
     /// The pools of an instance, one bit each.
     pub fn pools_of(&mut self, instance: &Instance<'_>) -> u64 {
         let mut pools = ALL;
-        for (i, pool) in self.rules.pools.iter().enumerate() {
+        let now = self.rules.pools.iter().map(|pool| &pool.when).zip(self.bits.iter().copied());
+        let before = self.retired.iter().map(|retired| (&retired.when, retired.bit));
+        for (when, bit) in now.chain(before) {
             // A test that fails on an instance leaves it out.
-            if pool.when.test(instance, &mut self.scratch) == Ok(true) {
-                pools |= 1 << i;
+            if when.test(instance, &mut self.scratch) == Ok(true) {
+                pools |= 1 << bit;
             }
         }
         pools
@@ -165,8 +199,8 @@
     pub fn ready(&mut self, instances: impl Iterator<Item = u64>) {
         self.ready.iter_mut().for_each(|count| *count = 0);
         for pools in instances {
-            for (i, count) in self.ready.iter_mut().enumerate() {
-                *count += usize::from(pools & (1 << i) != 0);
+            for (count, bit) in self.ready.iter_mut().zip(&self.bits) {
+                *count += usize::from(pools & (1 << bit) != 0);
             }
         }
     }
@@ -178,7 +212,7 @@
 
     /// A request's way at `now`, ms.
     pub fn route(&mut self, request: &Request<'_>, now: f64) -> Verdict {
-        let Router { rules, limits, ready, scratch, chosen, faults, .. } = self;
+        let Router { rules, bits, limits, ready, scratch, chosen, faults, .. } = self;
         if let Some(part) = request.too_long() {
             return Verdict::Bad { rule: String::new(), why: format!("the {part} is too long") };
         }
@@ -214,7 +248,7 @@
             }
         }
         if let Some(pool) = way.pool {
-            match settle(rules, ready, pool) {
+            match settle(rules, bits, ready, pool) {
                 Ok(pools) => way.route.pools = pools,
                 Err(refused) => {
                     let pool = &rules.pools[refused];
@@ -259,12 +293,12 @@
 }
 
 /// Where a pool's requests go now, or the pool that refuses them.
-fn settle(rules: &Rules, ready: &[usize], mut pool: Option<usize>) -> Result<u64, usize> {
+fn settle(rules: &Rules, bits: &[u8], ready: &[usize], mut pool: Option<usize>) -> Result<u64, usize> {
     // As many steps as pools: a file with a ring was refused.
     for _ in 0..=rules.pools.len() {
         let Some(at) = pool else { return Ok(ALL) };
         if ready[at] > 0 {
-            return Ok(1 << at);
+            return Ok(1 << bits[at]);
         }
         pool = match rules.pools[at].fallback {
             Fallback::Refuse => return Err(at),
--- a/crates/routes/src/rules.rs
+++ b/crates/routes/src/rules.rs
@@ -5,10 +5,11 @@
 
 use crate::effect::{self, Declared, Effect};
 use crate::file::{Fault, Reader, Text, Value};
-use crate::limit::Allowance;
+use crate::limit::{Allowance, Limit};
 use crate::request::{field, instance_schema, request_schema};
 use driftgap_expr::{Expression, Facts, Outcome, Path, Schema, Selector, Type};
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 use toml::de::DeTable;
 
 /// Most pools: an instance's are a word of bits, one of which stands for all instances.
@@ -139,6 +140,19 @@
     /// # Errors
     /// Every fault of the file.
     pub fn read(text: &str, file: &str, catalog: &Catalog) -> Result<Rules, Vec<Fault>> {
+        Rules::read_part(text, file, None, catalog)
+    }
+
+    /// As [`Rules::read`], from the table `part` of a file that holds other things as well.
+    ///
+    /// # Errors
+    /// Every fault of that table.
+    pub fn read_part(
+        text: &str,
+        file: &str,
+        part: Option<&str>,
+        catalog: &Catalog,
+    ) -> Result<Rules, Vec<Fault>> {
         if text.len() > MOST_FILE {
             let line = format!("{file}: the file has {} bytes, {MOST_FILE} are the most", text.len());
             return Err(vec![Fault { shown: line.clone(), line }]);
@@ -150,13 +164,21 @@
             declared: Declared::default(),
             schema: request_schema(),
         };
-        let rules = judge.whole();
+        let rules = judge.whole(part);
         match rules {
             Some(rules) if judge.reader.clean() => Ok(rules),
             _ => Err(judge.reader.faults()),
         }
     }
 
+    /// The limit of each rule: one that is `kept`, or a new one.
+    pub(crate) fn limits(&self, kept: impl Fn(&LimitSpec) -> Option<Rc<Limit>>) -> Vec<Option<Rc<Limit>>> {
+        let new = |spec: &LimitSpec| Rc::new(Limit::new(spec.allowance, spec.keys));
+        let limit =
+            |rule: &Rule| rule.limit.as_ref().map(|(_, spec)| kept(spec).unwrap_or_else(|| new(spec)));
+        self.rules.iter().map(limit).collect()
+    }
+
     /// Rules.
     pub fn len(&self) -> usize {
         self.rules.len()
@@ -202,9 +224,16 @@
 }
 
 impl<'t> Judge<'t> {
-    fn whole(&mut self) -> Option<Rules> {
+    fn whole(&mut self, part: Option<&str>) -> Option<Rules> {
         let table = self.reader.parse()?;
-        let table = table.get_ref();
+        let empty = DeTable::new();
+        let table = match part {
+            None => table.get_ref(),
+            Some(part) => match table.get_ref().get(part) {
+                Some(value) => self.reader.table(value)?,
+                None => &empty,
+            },
+        };
         self.reader.known(table, &["cost", "effects", "pool", "rule"]);
         let most = self.costs(table);
         self.effects(table);
--- a/src/api.rs
+++ b/src/api.rs
@@ -10,6 +10,10 @@
 pub type RequestId = u32;
 /// A customer, the holder of one quota.
 pub type CustomerId = u64;
+/// Pools of hosts, a bit each.
+pub type Pools = u64;
+/// The pool of all hosts.
+pub const ALL_HOSTS: Pools = 1 << 63;
 
 /// How often a request may take effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -161,6 +165,8 @@
     pub size: f64,
     /// When it last started; 0: long ago.
     pub started: f64,
+    /// The pools that it is in, [`ALL_HOSTS`] among them.
+    pub pools: Pools,
 }
 
 /// What a list brings.
@@ -218,6 +224,8 @@
     pub first: u32,
     /// Marked by the client as a repeat.
     pub repeat: bool,
+    /// It may be sent to hosts of these pools only.
+    pub pools: Pools,
 }
 
 /// The end of an attempt.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,7 +4,7 @@
 //! `docs/design.md` tells what comes from the paper and what departs from it.
 
 use crate::api::*;
-use crate::state::{lot, Attempt, Avoid, Customer, Host, Kind, Memory, Open, Peers};
+use crate::state::{lot, Ask, Attempt, Avoid, Customer, Host, Kind, Memory, Open, Peers};
 
 /// Housekeeping period, s: short beside any aim, long beside the cost of one pass.
 const TICK: f64 = 0.05;
@@ -203,8 +203,8 @@
     /// First attempt of a request that its quota lets in, or a refusal where no host can take it.
     fn admit(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.m.requests.get(&id).filter(|o| !o.done) else { return };
-        let (kind, customer, units) = (open.kind(), open.request.customer, open.request.units);
-        if let Some(host) = self.choose(now, kind, &[], None) {
+        let (of, customer, units) = (open.ask(), open.request.customer, open.request.units);
+        if let Some(host) = self.choose(now, of, &[], None) {
             self.m.tokens = (self.m.tokens + EARN).min(SAVED);
             return self.send(now, id, host, actions);
         }
@@ -594,10 +594,12 @@
 
     // ---- Choice ----
 
-    fn choose(&mut self, now: f64, kind: Kind, tried: &[HostId], group: Option<Peers>) -> Option<HostId> {
-        let ready = self.m.hosts.values().filter(|h| h.ready).count();
-        let ejected = self.m.hosts.values().filter(|h| h.ready && h.ejected.is_some()).count();
-        let left_out = self.m.hosts.values().filter(|h| h.ready && h.left_out(now, kind)).count();
+    fn choose(&mut self, now: f64, of: Ask, tried: &[HostId], group: Option<Peers>) -> Option<HostId> {
+        let (kind, pools) = of;
+        let may = |h: &Host| h.ready && h.pools & pools != 0;
+        let ready = self.m.hosts.values().filter(|h| may(h)).count();
+        let ejected = self.m.hosts.values().filter(|h| may(h) && h.ejected.is_some()).count();
+        let left_out = self.m.hosts.values().filter(|h| may(h) && h.left_out(now, kind)).count();
         let load = left_out as f64 > EJECT_SHARE * ready as f64;
         let mut best: Option<(f64, HostId)> = None;
         for round in 0..2 {
@@ -607,7 +609,7 @@
                     Some((Group::Cell, _, cell)) => h.cell == cell,
                     _ => true,
                 };
-                if !h.ready || !in_group || tried.contains(&id) || !self.cold_room(now, id, h) {
+                if !may(h) || !in_group || tried.contains(&id) || !self.cold_room(now, id, h) {
                     continue;
                 }
                 // With everything out, something must still be tried.
@@ -838,8 +840,8 @@
             return false;
         }
         let tried: Vec<HostId> = open.attempts.iter().map(|a| a.host).collect();
-        let kind = open.kind();
-        let Some(host) = self.choose(now, kind, &tried, group) else { return false };
+        let of = open.ask();
+        let Some(host) = self.choose(now, of, &tried, group) else { return false };
         self.m.tokens -= 1.0;
         self.send(now, id, host, actions);
         true
--- a/src/bin/driftgap-adapter/wire.rs
+++ b/src/bin/driftgap-adapter/wire.rs
@@ -94,7 +94,15 @@
             2 => HostState::Draining,
             other => return Err(format!("Entry at byte {}: unknown state {other}", self.at - 1)),
         };
-        Ok(HostEntry { host, zone, cell, state, size: self.f32()?, started: self.f64()? })
+        Ok(HostEntry {
+            host,
+            zone,
+            cell,
+            state,
+            size: self.f32()?,
+            started: self.f64()?,
+            pools: driftgap::ALL_HOSTS,
+        })
     }
 
     /// The next record, or none at the end of the frame.
@@ -147,7 +155,18 @@
                 let first = self.f32()?.clamp(0.0, 65_535.0) as u32;
                 let (customer, units, bits) = (self.u64()?, self.f32()?, self.u8()?);
                 let repeat = bits & 2 != 0;
-                Event::Arrived(Request { id, give_up, class, plan, customer, units, spread, first, repeat })
+                Event::Arrived(Request {
+                    id,
+                    give_up,
+                    class,
+                    plan,
+                    customer,
+                    units,
+                    spread,
+                    first,
+                    repeat,
+                    pools: driftgap::ALL_HOSTS,
+                })
             }
             4 => {
                 let (id, attempt) = (self.u32()?, u32::from(self.u16()?));
--- a/src/check.rs
+++ b/src/check.rs
@@ -6,6 +6,7 @@
 use crate::name_table::NameTable;
 use crate::operator::Operator;
 use crate::plugin::Plugin;
+use crate::routing::Source;
 use crate::settings::Config;
 use std::path::Path;
 
@@ -52,6 +53,11 @@
             note("plugin", &e);
         }
     }
+    if let (Some(rules), Some(config)) = (Source::of(&operator), &config) {
+        for fault in rules.read(&config.platform).err().unwrap_or_default() {
+            note("routes", &fault);
+        }
+    }
     // Without the settings no zone is known, and each would seem wrong.
     if let (Some(inventory), Some(_)) = (&operator.inventory, &config) {
         let mut inventory = Inventory::new(operator.folder.join(&inventory.file));
--- a/src/core.rs
+++ b/src/core.rs
@@ -3,7 +3,7 @@
 //! write a socket, know RESP or HTTP, or ask the system for the time; and it decides nothing about whom to
 //! serve: that is the module's, behind the facade.
 
-use crate::api::{HostEntry, HostState, ListKind, Outcome};
+use crate::api::{HostEntry, HostState, ListKind, Outcome, ALL_HOSTS};
 use crate::facade::{Add, Ask, CommandId, Ended, Errand, Facade, InstanceId, Report, Verdict};
 use crate::settings::Platform;
 use std::cmp::Reverse;
@@ -120,30 +120,34 @@
                 Some("1") => true,
                 Some(_) => return Err(BadCommand::Term("r")),
             },
+            pools: ALL_HOSTS,
         };
         let patience_ms = number("d", MOST_PATIENCE_MS)?;
-        // Guards the instances' grammar: a query never has a body, whatever else never lacks one.
-        let safe = settings.classes[ask.class].effect == crate::api::Effect::Safe;
-        let body = match (safe, body) {
-            (true, Some(body)) if !body.is_empty() => return Err(BadCommand::Term("body")),
-            (true, _) => None,
-            (false, body) => Some(body.unwrap_or_default()),
-        };
         // Guards the quota: an instance must not read other units or another class than this ingress did.
         for name in ["c", "t", "d", "r", "units", "spread", "first"] {
             if pairs(&terms).filter(|(n, _)| *n == name).count() > 1 {
                 return Err(BadCommand::Term("terms"));
             }
         }
-        Ok(Command {
-            ask,
-            customer: customer.into(),
-            id: id.into(),
-            terms,
-            patience_ms,
-            body,
-            notes: Vec::new(),
-        })
+        let (customer, id, notes) = (customer.into(), id.into(), Vec::new());
+        let mut command = Command { ask, customer, id, terms, patience_ms, body: None, notes };
+        command.take_body(platform, body)?;
+        Ok(command)
+    }
+
+    /// Gives it its body, where that comes later than its head.
+    ///
+    /// # Errors
+    /// A body that its class does not have.
+    pub fn take_body(&mut self, platform: &Platform, body: Option<Vec<u8>>) -> Result<(), BadCommand> {
+        // Guards the instances' grammar: a query never has a body, whatever else never lacks one.
+        let safe = platform.module.classes[self.ask.class].effect == crate::api::Effect::Safe;
+        self.body = match (safe, body) {
+            (true, Some(body)) if !body.is_empty() => return Err(BadCommand::Term("body")),
+            (true, _) => None,
+            (false, body) => Some(body.unwrap_or_default()),
+        };
+        Ok(())
     }
 
     /// Memory that it holds, roughly.
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -123,7 +123,7 @@
         let ids =
             |gone: bool| entries.iter().filter(move |e| (e.state == HostState::Gone) == gone).map(|e| e.host);
         let (gone, named): (HashSet<_>, HashSet<_>) = (ids(true).collect(), ids(false).collect());
-        hub.with_core(|core, now| core.names(now, kind, entries));
+        hub.names(kind, entries);
         hub.table().forget(|id| gone.contains(&id) || kind == ListKind::Full && !named.contains(&id));
     }
     Ok(version)
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -3,7 +3,9 @@
 //! errands, never the module's events or actions. It must never decide anything itself, nor know a command
 //! beyond the figures that the module asks for.
 
-use crate::api::{Action, AttemptEnd, Event, HostEntry, ListKind, Outcome, Request, Settings, SettingsError};
+use crate::api::{
+    Action, AttemptEnd, Event, HostEntry, ListKind, Outcome, Pools, Request, Settings, SettingsError,
+};
 use crate::balance::Gateway;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -75,6 +77,8 @@
     pub first: u32,
     /// Marked by the client as a retry.
     pub repeat: bool,
+    /// The pools whose instances it may be sent to.
+    pub pools: Pools,
 }
 
 /// The end of an attempt.
@@ -149,6 +153,7 @@
             spread: ask.spread,
             first: ask.first,
             repeat: ask.repeat,
+            pools: ask.pools,
         };
         self.handle(now, Event::Arrived(request));
         match self.verdicts.iter().position(|(command, _)| *command == id) {
--- a/src/front/http2.rs
+++ b/src/front/http2.rs
@@ -4,17 +4,23 @@
 //! reset means that the service client has gone. One rule of the house is given up here: h2 keeps its own
 //! buffers, so a connection has no ring; the bounds below take its place.
 
-use crate::core::{Answer, BadCommand, Command};
+use crate::core::{pairs, Answer, BadCommand, Command};
 use crate::hub::{Hub, ServiceClient};
+use crate::routing::{self, HeaderView};
 use crate::wire::MOST_VALUE;
-use crate::wire_http2::{plain, push_body, terms, text, wording, COMMANDS, CUSTOMER, ID};
+use crate::wire_http2::{
+    plain, push_body, terms, text, wording, COMMANDS, CUSTOMER, DEADLINE, ID, PLAN, RETRY, TERMS,
+};
 use bytes::Bytes;
+use driftgap_routes::{Headers, Request as Seen, Route, Ticket, Verdict};
 use h2::server::SendResponse;
 use h2::{Reason, RecvStream};
+use http::request::Parts;
 use http::{Method, Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::poll_fn;
+use std::net::IpAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -44,6 +50,7 @@
 }
 
 struct Connection {
+    peer: IpAddr,
     leave: Notify,
     flood: Notify,
     leaving: Cell<bool>,
@@ -82,7 +89,7 @@
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
             match listener.accept().await {
-                Ok((stream, _)) => self.open(stream),
+                Ok((stream, peer)) => self.open(stream, peer.ip()),
                 Err(e) => {
                     tracing::warn!(error = %e, "accept");
                     self.shed();
@@ -92,8 +99,9 @@
         }
     }
 
-    fn open(self: &Rc<Self>, stream: TcpStream) {
+    fn open(self: &Rc<Self>, stream: TcpStream, peer: IpAddr) {
         let connection = Rc::new(Connection {
+            peer,
             leave: Notify::new(),
             flood: Notify::new(),
             leaving: Cell::new(false),
@@ -184,19 +192,20 @@
     mut respond: SendResponse<Bytes>,
 ) {
     let arrived = hub.now();
-    let taken = match take(hub, request).await {
-        Ok(Wanted::Command(mut command)) => {
+    let (tell, mut told) = oneshot::channel();
+    let client = Rc::new(Waiting(RefCell::new(Some(tell))));
+    let id = Cell::new(0);
+    match take(hub, this.peer, request).await {
+        Ok(Wanted::Command(mut command, places)) => {
             // The wait counts from the client's send, not from the body's end.
             command.patience_ms -= hub.now() - arrived;
-            command
+            hub.arrive(*command, client, 0, places, |number| id.set(number));
         }
+        Ok(Wanted::Away(after_ms)) => hub.refuse(after_ms, client, 0, |number| id.set(number)),
         Ok(Wanted::Word(status, word)) => return send(hub, respond, plain(status), word.into()).await,
         Err(Refused::Reset(reason)) => return respond.send_reset(reason),
         Err(Refused::Status(status, why)) => return send(hub, respond, plain(status), why.into()).await,
-    };
-    let (tell, mut told) = oneshot::channel();
-    let id = Cell::new(0);
-    hub.arrive(*taken, Rc::new(Waiting(RefCell::new(Some(tell)))), 0, |number| id.set(number));
+    }
     let answer = tokio::select! {
         biased;
         answer = &mut told => answer,
@@ -233,7 +242,10 @@
 }
 
 enum Wanted {
-    Command(Box<Command>),
+    /// A command, and its places under the operator's limits.
+    Command(Box<Command>, Vec<Ticket>),
+    /// Turned away by a rule, to come back after so long, ms.
+    Away(f64),
     Word(StatusCode, &'static str),
 }
 
@@ -246,31 +258,99 @@
     Refused::Status(StatusCode::BAD_REQUEST, why.to_string())
 }
 
-async fn take(hub: &Hub, request: Request<RecvStream>) -> Result<Wanted, Refused> {
+async fn take(hub: &Hub, peer: IpAddr, request: Request<RecvStream>) -> Result<Wanted, Refused> {
     let (head, mut stream) = request.into_parts();
-    let Some(class) = head.uri.path().strip_prefix(COMMANDS) else {
-        return Ok(match head.uri.path() {
-            "/-/ready" if hub.can_serve() => Wanted::Word(StatusCode::OK, "ready"),
-            "/-/ready" => Wanted::Word(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
-            "/-/healthy" => Wanted::Word(StatusCode::OK, "healthy"),
-            _ => Wanted::Word(StatusCode::NOT_FOUND, "no such path"),
-        });
-    };
-    if head.method != Method::POST && head.method != Method::GET {
-        return Err(Refused::Status(StatusCode::METHOD_NOT_ALLOWED, "POST or GET".into()));
+    match head.uri.path() {
+        "/-/ready" if hub.can_serve() => return Ok(Wanted::Word(StatusCode::OK, "ready")),
+        "/-/ready" => return Ok(Wanted::Word(StatusCode::SERVICE_UNAVAILABLE, "not ready")),
+        "/-/healthy" => return Ok(Wanted::Word(StatusCode::OK, "healthy")),
+        _ => {}
     }
-    let (terms, wait) = terms(&head.headers, class).map_err(bad)?;
+    let class = head.uri.path().strip_prefix(COMMANDS);
+    let route = if hub.has_rules() { routed(hub, peer, &head, class)? } else { Ok(Box::default()) };
+    let route = match route {
+        Ok(route) => *route,
+        Err(after_ms) => return Ok(Wanted::Away(after_ms)),
+    };
+    let (mut command, wait) = match (route.command, class) {
+        (Some(mapped), _) => {
+            let headers = HeaderView(&head.headers);
+            let request = seen(peer, &head, class, &headers);
+            let command = routing::command(hub.platform(), mapped, &request, || hub.fresh_id());
+            let command = command.map_err(refusal)?;
+            let wait = command.patience_ms;
+            (command, wait)
+        }
+        (None, Some(class)) => {
+            if head.method != Method::POST && head.method != Method::GET {
+                return Err(Refused::Status(StatusCode::METHOD_NOT_ALLOWED, "POST or GET".into()));
+            }
+            let (terms, wait) = terms(&head.headers, class).map_err(bad)?;
+            let header = |name| text(&head.headers, name).map_err(bad);
+            let (customer, id) = (header(CUSTOMER)?, header(ID)?);
+            (Command::new(hub.platform(), customer, id, terms, None).map_err(refusal)?, wait)
+        }
+        (None, None) => return Ok(Wanted::Word(StatusCode::NOT_FOUND, "no such path")),
+    };
     let body = read_body(&mut stream, Duration::from_secs_f64(wait / 1e3)).await?;
-    let header = |name| text(&head.headers, name).map_err(bad);
-    let (customer, id) = (header(CUSTOMER)?, header(ID)?);
-    let command = Command::new(hub.platform(), customer, id, terms, body);
-    match command {
-        Ok(command) => Ok(Wanted::Command(Box::new(command))),
-        // As on every wire, these have failed; what is malformed is told from them.
-        Err(e @ (BadCommand::Class | BadCommand::Plan | BadCommand::Term("units"))) => {
-            Err(Refused::Status(StatusCode::BAD_GATEWAY, e.to_string()))
+    command.take_body(hub.platform(), body).map_err(refusal)?;
+    (command.ask.pools, command.notes) = (route.pools, route.notes);
+    Ok(Wanted::Command(Box::new(command), route.tickets))
+}
+
+/// As on every wire, these have failed; what is malformed is told from them.
+fn refusal(problem: BadCommand) -> Refused {
+    match problem {
+        BadCommand::Class | BadCommand::Plan | BadCommand::Term("units") => {
+            Refused::Status(StatusCode::BAD_GATEWAY, problem.to_string())
+        }
+        problem => bad(problem),
+    }
+}
+
+/// A request as the operator's rules see it. What its headers say of a command counts as far as it makes sense;
+/// what does not is told where the command is made.
+fn seen<'a>(peer: IpAddr, head: &'a Parts, class: Option<&'a str>, headers: &'a dyn Headers) -> Seen<'a> {
+    let named = |name| text(&head.headers, name).ok();
+    let units = named(TERMS).and_then(|list| pairs(list).find(|(name, _)| *name == "units"));
+    let deadline = named(DEADLINE).and_then(|ms| ms.parse::<f64>().ok());
+    Seen {
+        protocol: "http2",
+        method: head.method.as_str(),
+        path: head.uri.path(),
+        query: head.uri.query(),
+        host: head.uri.authority().map(|authority| authority.as_str()),
+        headers,
+        class,
+        plan: named(PLAN),
+        partner: named(CUSTOMER),
+        id: named(ID),
+        units: units.and_then(|(_, units)| units.parse().ok()).filter(|units: &f64| units.is_finite()),
+        deadline_ms: deadline.filter(|ms| (0.0..=3.6e6).contains(ms)).map(|ms| ms as i64),
+        retry: head.headers.get(RETRY).is_some_and(|r| r == "1"),
+        length: named("content-length").and_then(|length| length.parse().ok()),
+        client: peer,
+    }
+}
+
+/// A request's way through the operator's rules; or, in ms, when to come back.
+fn routed(
+    hub: &Hub,
+    peer: IpAddr,
+    head: &Parts,
+    class: Option<&str>,
+) -> Result<Result<Box<Route>, f64>, Refused> {
+    let headers = HeaderView(&head.headers);
+    match hub.route(&seen(peer, head, class, &headers)) {
+        Verdict::Go(route) => Ok(Ok(route)),
+        Verdict::Nack { after_ms, by } => {
+            tracing::debug!(by, after_ms, "refused by a rule");
+            Ok(Err(after_ms))
+        }
+        Verdict::Bad { rule, why } => {
+            tracing::debug!(rule, why, "makes no sense to a rule");
+            Err(bad(why))
         }
-        Err(e) => Err(bad(e)),
     }
 }
 
--- a/src/front/resp.rs
+++ b/src/front/resp.rs
@@ -7,11 +7,14 @@
 use crate::facade::CommandId;
 use crate::hub::{Hub, ServiceClient, Unsent};
 use crate::ring::Ring;
+use crate::routing;
 use crate::wire::{command_words, platform_command, Parsed, MOST_VALUE};
+use driftgap_routes::{NoHeaders, Ticket, Verdict};
 use std::cell::{Cell, RefCell};
 use std::cmp::Ordering;
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
+use std::net::IpAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -45,6 +48,7 @@
 
 struct Client {
     stream: OwnedWriteHalf,
+    peer: IpAddr,
     hub: Rc<Hub>,
     output: RefCell<Ring>,
     slots: RefCell<VecDeque<Slot>>,
@@ -101,9 +105,11 @@
 
     fn open(self: &Rc<Self>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let peer = stream.peer_addr().map_or(IpAddr::from([0, 0, 0, 0]), |addr| addr.ip());
         let (read, write) = stream.into_split();
         let client = Rc::new(Client {
             stream: write,
+            peer,
             hub: self.hub.clone(),
             output: Ring::new(MOST_OUTPUT).into(),
             slots: RefCell::default(),
@@ -304,6 +310,39 @@
     }
 }
 
+/// Why a command goes no further than the rules.
+enum Turned {
+    /// Refused, to come back after so long, ms.
+    Away(f64),
+    /// It makes no sense to a rule.
+    Down,
+}
+
+/// Takes a command through the operator's rules, if there are any: they may choose its pool, note something on
+/// it, or turn it away, and change nothing that the platform's protocol says of it.
+fn routed(client: &Client, command: &mut Command) -> Result<Vec<Ticket>, Turned> {
+    let hub = &client.hub;
+    if !hub.has_rules() {
+        return Ok(Vec::new());
+    }
+    let path = routing::path(hub.platform(), command);
+    let request = routing::request_of(hub.platform(), command, &path, &NoHeaders, client.peer);
+    match hub.route(&request) {
+        Verdict::Go(route) => {
+            (command.ask.pools, command.notes) = (route.pools, route.notes);
+            Ok(route.tickets)
+        }
+        Verdict::Nack { after_ms, by } => {
+            tracing::debug!(id = command.id, by, after_ms, "refused by a rule");
+            Err(Turned::Away(after_ms))
+        }
+        Verdict::Bad { rule, why } => {
+            tracing::debug!(id = command.id, rule, why, "makes no sense to a rule");
+            Err(Turned::Down)
+        }
+    }
+}
+
 /// What is left to do after the commands that were taken in.
 enum Next {
     /// Wait for more bytes, so many at the least.
@@ -342,12 +381,21 @@
                 client.fill(ticket, b"+OK\r\n".to_vec());
                 return Next::End;
             }
-            Wanted::Command(command) => client.hub.arrive(*command, client.clone(), ticket, |id| {
-                let at = (ticket - client.first.get()) as usize;
-                if let Some(slot) = client.slots.borrow_mut().get_mut(at) {
-                    *slot = Slot::Open(Some(id));
+            Wanted::Command(mut command) => {
+                let known = |id| {
+                    let at = (ticket - client.first.get()) as usize;
+                    if let Some(slot) = client.slots.borrow_mut().get_mut(at) {
+                        *slot = Slot::Open(Some(id));
+                    }
+                };
+                match routed(client, &mut command) {
+                    Ok(places) => client.hub.arrive(*command, client.clone(), ticket, places, known),
+                    Err(Turned::Away(after_ms)) => client.hub.refuse(after_ms, client.clone(), ticket, known),
+                    Err(Turned::Down) => {
+                        client.fill(ticket, b"-ERR failed: the command makes no sense\r\n".to_vec());
+                    }
                 }
-            }),
+            }
         }
     }
     Next::Again
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -3,14 +3,16 @@
 //! else to the [`Network`]) and of news into it. It must never know a wire, a socket or a task, decide about a
 //! command, or hold the core while somebody else runs: the parts know the hub, and it knows none of them.
 
+use crate::api::{HostEntry, HostState, ListKind};
 use crate::clock::Clock;
 use crate::core::{Answer, Command, Core, Effect, Tally};
 use crate::facade::{CommandId, Facade, InstanceId};
 use crate::name_table::NameTable;
 use crate::plugin::{Plugin, Wish};
 use crate::settings::{Config, Platform};
+use driftgap_routes::{Instance, Request, Router, Rules, Ticket, TooSoon, Verdict, ALL};
 use std::cell::{Cell, OnceCell, RefCell, RefMut};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::{Rc, Weak};
 
 /// Without a word from discovery, the last known list serves after this long, ms.
@@ -64,8 +66,8 @@
     }
 }
 
-/// Who is owed an answer, and its mark for the command.
-type Owed = (Rc<dyn ServiceClient>, u64);
+/// Who is owed an answer, its mark for the command, and the command's places under the operator's limits.
+type Owed = (Rc<dyn ServiceClient>, u64, Vec<Ticket>);
 
 /// What all tasks share.
 pub struct Hub {
@@ -77,6 +79,12 @@
     network: OnceCell<Weak<dyn Network>>,
     clients: RefCell<HashMap<CommandId, Owed>>,
     plugin: Option<Plugin>,
+    /// The operator's rules.
+    router: RefCell<Option<Router>>,
+    /// The instances that are ready, as the core was told of them.
+    listed: RefCell<BTreeMap<InstanceId, HostEntry>>,
+    /// Ids given to commands whose clients name none.
+    ids: Cell<u64>,
     unsent: Rc<Cell<usize>>,
     most_unsent: usize,
     pumping: Cell<bool>,
@@ -107,6 +115,9 @@
             // Without discovery, what is known is all there is.
             answered: Cell::new(config.discovery.is_none()),
             plugin,
+            router: RefCell::default(),
+            listed: RefCell::default(),
+            ids: Cell::new(0),
             unsent: Rc::default(),
             most_unsent: most_bytes / 2,
             platform,
@@ -184,6 +195,7 @@
         mut command: Command,
         client: Rc<dyn ServiceClient>,
         ticket: u64,
+        places: Vec<Ticket>,
         known: impl FnOnce(CommandId),
     ) {
         let now = self.clock.now();
@@ -193,16 +205,99 @@
             wish => {
                 if let Some(Wish::Pass(notes)) = wish.filter(|w| *w != Wish::Pass(Vec::new())) {
                     tracing::debug!(id = command.id, ?notes, "notes of the plug-in");
-                    command.notes = notes;
+                    command.notes.extend(notes);
                 }
                 self.core.borrow_mut().arrive(now, command)
             }
         };
-        self.clients.borrow_mut().insert(id, (client, ticket));
+        self.clients.borrow_mut().insert(id, (client, ticket, places));
         known(id);
         self.pump();
     }
 
+    /// Refuses a command on a rule's word, before any decision.
+    pub fn refuse(
+        &self,
+        after_ms: f64,
+        client: Rc<dyn ServiceClient>,
+        ticket: u64,
+        known: impl FnOnce(CommandId),
+    ) {
+        let id = self.core.borrow_mut().refuse(after_ms);
+        self.clients.borrow_mut().insert(id, (client, ticket, Vec::new()));
+        known(id);
+        self.pump();
+    }
+
+    /// Whether there are rules: without, what they would see of a request need not be put together.
+    pub fn has_rules(&self) -> bool {
+        self.router.borrow().is_some()
+    }
+
+    /// A request's way through the rules.
+    pub fn route(&self, request: &Request<'_>) -> Verdict {
+        match &mut *self.router.borrow_mut() {
+            Some(router) => router.route(request, self.clock.now()),
+            None => Verdict::Go(Box::default()),
+        }
+    }
+
+    /// An id for a command whose client names none: like no other of this ingress.
+    pub fn fresh_id(&self) -> String {
+        self.ids.set(self.ids.get() + 1);
+        format!("r{:x}-{:x}", self.started as u64, self.ids.get())
+    }
+
+    /// Puts rules in force. Commands under way end under those that they began with.
+    ///
+    /// # Errors
+    /// Those still need too many pools; the old rules stay.
+    pub fn put_rules(&self, rules: Rules) -> Result<(), TooSoon> {
+        let longest = self.platform.module.classes.iter().map(|c| 1e3 * c.deadline).fold(0.0, f64::max);
+        match &mut *self.router.borrow_mut() {
+            Some(router) => router.replace(rules, self.clock.now(), longest)?,
+            none => *none = Some(Router::new(rules)),
+        }
+        let listed = self.listed.borrow().values().cloned().collect();
+        self.names(ListKind::Delta, listed);
+        Ok(())
+    }
+
+    /// Ready instances by pool, and evaluations of rules that failed.
+    pub fn pools(&self) -> Option<(String, u64)> {
+        let router = self.router.borrow();
+        let router = router.as_ref()?;
+        let ready: Vec<String> = router.figures().map(|(pool, ready)| format!("{pool}={ready}")).collect();
+        Some((ready.join(" "), router.faults()))
+    }
+
+    /// The name table has news: instances get their pools, and the core hears of it.
+    pub fn names(&self, kind: ListKind, mut entries: Vec<HostEntry>) {
+        if let Some(router) = &mut *self.router.borrow_mut() {
+            let table = self.table.borrow();
+            let mut listed = self.listed.borrow_mut();
+            for entry in entries.iter_mut().filter(|entry| entry.state == HostState::Ready) {
+                entry.pools = match table.instance(entry.host) {
+                    Some(instance) => router.pools_of(&Instance {
+                        name: &instance.name,
+                        zone: self.platform.zones.get(entry.zone as usize).map_or("", String::as_str),
+                        cell: entry.cell,
+                        weight: entry.size,
+                        protocol: instance.speaks.name(),
+                        ip: instance.addr.ip(),
+                        labels: &instance.labels,
+                    }),
+                    None => ALL,
+                };
+            }
+            list(&mut listed, kind, &entries);
+            router.ready(listed.values().map(|entry| entry.pools));
+        } else {
+            list(&mut self.listed.borrow_mut(), kind, &entries);
+        }
+        self.with_core(|core, now| core.names(now, kind, entries));
+    }
+
     /// A service client is gone.
     pub fn client_gone(&self, id: CommandId) {
         self.clients.borrow_mut().remove(&id);
@@ -218,7 +313,7 @@
             match effect {
                 Some(Effect::Reply(id, answer)) => {
                     let client = self.clients.borrow_mut().remove(&id);
-                    if let Some((client, ticket)) = client {
+                    if let Some((client, ticket, _places)) = client {
                         client.answer(ticket, answer);
                     }
                 }
@@ -235,6 +330,20 @@
     }
 }
 
+/// Keeps the ready instances after news of the name table.
+fn list(listed: &mut BTreeMap<InstanceId, HostEntry>, kind: ListKind, entries: &[HostEntry]) {
+    if matches!(kind, ListKind::Full | ListKind::Cached) {
+        listed.clear();
+    }
+    for entry in entries {
+        if entry.state == HostState::Ready {
+            listed.insert(entry.host, entry.clone());
+        } else {
+            listed.remove(&entry.host);
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/inventory.rs
+++ b/src/inventory.rs
@@ -3,9 +3,10 @@
 //! name table takes the result. It must never change the list for a file that is wrong anywhere, nor drop
 //! a host that is no longer named without letting it drain.
 
-use crate::api::{HostEntry, HostState};
+use crate::api::{HostEntry, HostState, ALL_HOSTS};
 use crate::facade::InstanceId;
 use crate::name_table::{Instance, NameTable, Speaks};
+use driftgap_routes::MOST_LABELS;
 use serde_json::{Map, Value};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -51,10 +52,20 @@
     cell: u32,
     weight: f64,
     speaks: Speaks,
+    labels: Vec<(String, String)>,
+}
+
+/// Whether a column or a variable is the operator's own: it becomes a label, for pools to read.
+fn is_label(name: &str) -> bool {
+    !FIELDS.contains(&name) && !name.starts_with("ansible_")
 }
 
 /// A host from its fields, however the file holds them.
-fn host(place: &str, get: impl Fn(&str) -> Option<String>) -> Result<Host, InventoryError> {
+fn host(
+    place: &str,
+    labels: Vec<(String, String)>,
+    get: impl Fn(&str) -> Option<String>,
+) -> Result<Host, InventoryError> {
     let wrong = |field: &'static str, problem: String| InventoryError::Value {
         place: place.to_string(),
         field,
@@ -85,7 +96,7 @@
         Some(other) => return Err(wrong("protocol", format!("{other:?} is neither resp nor http2"))),
     };
     let (cell, weight) = (number("cell", 0.0, 0.0)? as u32, number("weight", 1.0, 0.01)?);
-    Ok(Host { name, addr, zone: get("zone"), cell, weight, speaks })
+    Ok(Host { name, addr, zone: get("zone"), cell, weight, speaks, labels })
 }
 
 /// Hosts from CSV with a header row.
@@ -107,7 +118,11 @@
             let at = header.iter().position(|h| h == field)?;
             row.get(at).map(str::to_string)
         };
-        hosts.push((place.clone(), host(&place, get)?));
+        let others =
+            header.iter().zip(row.iter()).filter(|(name, value)| is_label(name) && !value.is_empty());
+        let labels =
+            others.map(|(name, value)| (name.to_string(), value.to_string())).take(MOST_LABELS).collect();
+        hosts.push((place.clone(), host(&place, labels, get)?));
     }
     unique(hosts)
 }
@@ -132,7 +147,9 @@
             "name" => Some(name.clone()),
             _ => vars.get(field).and_then(scalar),
         };
-        host(&place, get).map(|host| (place.clone(), host))
+        let labels = vars.iter().filter(|(name, _)| is_label(name));
+        let labels = labels.filter_map(|(name, value)| Some((name.clone(), scalar(value)?)));
+        host(&place, labels.take(MOST_LABELS).collect(), get).map(|host| (place.clone(), host))
     });
     unique(hosts.collect::<Result<_, _>>()?)
 }
@@ -249,8 +266,11 @@
             let id = table.number(&host.name);
             let zone = host.zone.as_ref().map_or(0, |z| table.zone(z));
             let (cell, size, state) = (host.cell, host.weight, HostState::Ready);
-            table.place(id, Instance { name: host.name, addr: host.addr, speaks: host.speaks });
-            entries.push(HostEntry { host: id, zone, cell, state, size, started: 0.0 });
+            table.place(
+                id,
+                Instance { name: host.name, addr: host.addr, speaks: host.speaks, labels: host.labels },
+            );
+            entries.push(HostEntry { host: id, zone, cell, state, size, started: 0.0, pools: ALL_HOSTS });
         }
         let named: BTreeSet<InstanceId> = entries.iter().map(|e| e.host).collect();
         self.dropped = self.draining.difference(&named).copied().collect();
@@ -262,6 +282,7 @@
             state: HostState::Draining,
             size: 1.0,
             started: 0.0,
+            pools: ALL_HOSTS,
         });
         entries.extend(drained);
         self.named = named;
@@ -286,7 +307,7 @@
     catchup:
       vars: {protocol: resp}
       hosts:
-        node-1: {address: '127.0.0.1:7001', cell: 2, weight: 1.5, protocol: http2}
+        node-1: {address: '127.0.0.1:7001', cell: 2, weight: 1.5, protocol: http2, rack: r9}
         node-2: {ansible_host: 127.0.0.2}
     new:
       hosts:
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,7 +52,7 @@
 //!
 //! // The list of hosts.
 //! let entry =
-//!     HostEntry { host: 42, zone: 0, cell: 0, state: HostState::Ready, size: 1.0, started: 0.0 };
+//!     HostEntry { host: 42, zone: 0, cell: 0, state: HostState::Ready, size: 1.0, started: 0.0, pools: ALL_HOSTS };
 //! gateway.handle(100.0, Event::Hosts { kind: ListKind::Full, entries: vec![entry] }, &mut actions);
 //!
 //! // A request waits while the counter is asked for a block of its customer's units ...
@@ -66,6 +66,7 @@
 //!     spread: 2,
 //!     first: 0,
 //!     repeat: false,
+//!     pools: ALL_HOSTS,
 //! };
 //! actions.clear();
 //! gateway.handle(200.1, Event::Arrived(request), &mut actions);
@@ -115,6 +116,8 @@
 pub mod operator;
 pub mod plugin;
 pub mod ring;
+pub mod routing;
+pub mod rules;
 pub mod settings;
 mod state;
 pub mod upstream;
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 use driftgap::logging::{self, LogFormat};
 use driftgap::node::{self, Signals};
 use driftgap::operator::Operator;
+use driftgap::rules::{self, Sample};
 use driftgap::settings::Config;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -35,6 +36,36 @@
     Serve,
     /// Reads all that `serve` would read; one line a fault, and status 2 if there is one.
     Check,
+    /// Checks, explains and measures a file of rules, judged by the platform's configuration.
+    Rules {
+        #[command(subcommand)]
+        task: RulesTask,
+    },
+}
+
+#[derive(Debug, Subcommand)]
+enum RulesTask {
+    /// Names every fault with the line that it is in, and status 2 if there is one.
+    Check {
+        /// The file of rules.
+        file: PathBuf,
+    },
+    /// Tells, rule by rule, why a request matches or does not.
+    Explain {
+        /// The file of rules.
+        file: PathBuf,
+        /// The request, in JSON.
+        #[arg(long)]
+        request: PathBuf,
+    },
+    /// Measures how long a request takes against the first 1, 10, 100, ... rules.
+    Bench {
+        /// The file of rules.
+        file: PathBuf,
+        /// The request, in JSON.
+        #[arg(long)]
+        request: PathBuf,
+    },
 }
 
 async fn start(config: Option<PathBuf>, operator: Option<PathBuf>) -> Result<(), String> {
@@ -67,10 +98,31 @@
     }
 }
 
+fn rules(config: Option<PathBuf>, task: &RulesTask) -> Result<String, Vec<String>> {
+    let path = config.ok_or_else(|| vec!["EDGE_CONFIG: not set; rules are judged by its classes".into()])?;
+    let platform = Config::read(&path).map_err(|e| vec![format!("EDGE_CONFIG: {e}")])?.platform;
+    let sample = |request: &PathBuf| Sample::read(request).map_err(|e| vec![e]);
+    match task {
+        RulesTask::Check { file } => rules::check(file, &platform),
+        RulesTask::Explain { file, request } => rules::explain(file, &platform, &sample(request)?),
+        RulesTask::Bench { file, request } => rules::bench(file, &platform, &sample(request)?),
+    }
+}
+
 fn main() -> ExitCode {
     let line = Line::parse();
     match line.task {
         None | Some(Task::Serve) => serve(line),
+        Some(Task::Rules { task }) => match rules(line.config, &task) {
+            Ok(text) => {
+                print!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(faults) => {
+                faults.iter().for_each(|fault| eprintln!("{fault}"));
+                ExitCode::from(2)
+            }
+        },
         Some(Task::Check) => {
             let faults = check::faults(line.config.as_deref(), line.operator.as_deref());
             faults.iter().for_each(|fault| eprintln!("{fault}"));
--- a/src/name_table.rs
+++ b/src/name_table.rs
@@ -2,8 +2,9 @@
 //! numbering of instances and discovery's form of the list. It must never drop the last list for one that makes
 //! no sense, do any I/O, or decide who gets a command.
 
-use crate::api::{HostEntry, HostState, ListKind};
+use crate::api::{HostEntry, HostState, ListKind, ALL_HOSTS};
 use crate::facade::InstanceId;
+use driftgap_routes::MOST_LABELS;
 use serde_json::Value;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -18,6 +19,16 @@
     Http2,
 }
 
+impl Speaks {
+    /// Its name, as lists of instances write it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Speaks::Resp => "resp",
+            Speaks::Http2 => "http2",
+        }
+    }
+}
+
 /// Where an instance is.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Instance {
@@ -27,6 +38,8 @@
     pub addr: SocketAddr,
     /// Its wire.
     pub speaks: Speaks,
+    /// What else is kept of it, for pools.
+    pub labels: Vec<(String, String)>,
 }
 
 /// News of the table.
@@ -160,7 +173,9 @@
             _ => Speaks::Resp,
         };
         match text("addr").and_then(|a| a.parse().map_err(|_| "addr")) {
-            Ok(addr) => self.place(id, Instance { name: name.to_string(), addr, speaks }),
+            Ok(addr) => {
+                self.place(id, Instance { name: name.to_string(), addr, speaks, labels: labels(server) })
+            }
             // What leaves needs no address.
             Err(field) if state == HostState::Ready => return Err(field),
             Err(_) => {}
@@ -172,10 +187,18 @@
             state,
             size: number("weight", 1.0),
             started: number("started_ms", 0.0) / 1e3,
+            pools: ALL_HOSTS,
         }))
     }
 }
 
+/// The labels of an entry of discovery's: names and texts, some at most.
+fn labels(server: &Value) -> Vec<(String, String)> {
+    let given = server.get("labels").and_then(Value::as_object).into_iter().flatten();
+    let texts = given.filter_map(|(name, value)| Some((name.clone(), value.as_str()?.to_string())));
+    texts.take(MOST_LABELS).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -191,7 +214,15 @@
             {"addr": "127.0.0.1:4", "state": "active"}
         ]});
         let news = table.take(&list).unwrap();
-        let want = HostEntry { host: 1, zone: 1, cell: 3, state: HostState::Ready, size: 1.5, started: 2.0 };
+        let want = HostEntry {
+            host: 1,
+            zone: 1,
+            cell: 3,
+            state: HostState::Ready,
+            size: 1.5,
+            started: 2.0,
+            pools: ALL_HOSTS,
+        };
         assert_eq!((news.kind, news.version, news.entries), (ListKind::Full, 41, vec![want]));
         for bad in
             [serde_json::json!([]), serde_json::json!({"version": 1}), serde_json::json!({"servers": []})]
@@ -220,7 +251,15 @@
     fn a_whole_list_of_discoverys_does_not_end_what_the_inventory_names() {
         let mut table = NameTable::new(vec![]);
         let id = table.number("mine");
-        let mine = HostEntry { host: id, zone: 0, cell: 0, state: HostState::Ready, size: 1.0, started: 0.0 };
+        let mine = HostEntry {
+            host: id,
+            zone: 0,
+            cell: 0,
+            state: HostState::Ready,
+            size: 1.0,
+            started: 0.0,
+            pools: ALL_HOSTS,
+        };
         table.keep_inventory(std::slice::from_ref(&mine));
         let empty = serde_json::json!({"version": 1, "full": true, "servers": []});
         assert_eq!(table.take(&empty).unwrap().entries, vec![mine]);
--- a/src/node.rs
+++ b/src/node.rs
@@ -12,6 +12,7 @@
 use crate::inventory::{Inventory, InventoryError};
 use crate::operator::Operator;
 use crate::plugin::{Plugin, PluginError};
+use crate::routing::Source;
 use crate::settings::Config;
 use crate::upstream::Upstream;
 use std::cell::RefCell;
@@ -52,6 +53,9 @@
     /// The plug-in does not load.
     #[error("plugin: {0}")]
     Plugin(#[from] PluginError),
+    /// The rules make no sense.
+    #[error("routes: {0}")]
+    Routes(String),
     /// Something that the system refuses.
     #[error("{0}")]
     System(#[from] std::io::Error),
@@ -95,12 +99,31 @@
     fn load(&self, inventory: &mut Inventory) -> Result<(), StartError> {
         let loaded = inventory.load(&mut self.hub.table());
         let entries = loaded.map_err(|e| StartError::Inventory(inventory.path().display().to_string(), e))?;
-        self.hub.with_core(|core, now| core.names(now, ListKind::Delta, entries));
+        self.hub.names(ListKind::Delta, entries);
         // Those that drain are held until the next reading finds them gone from the list before.
         self.hub.table().forget(|id| inventory.dropped(id));
         Ok(())
     }
 
+    /// Reads the rules again. A file that is wrong anywhere keeps the old ones.
+    fn read_rules(&self, source: &Source) {
+        match source.read(self.hub.platform()) {
+            Ok(rules) => {
+                let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
+                match self.hub.put_rules(rules) {
+                    Ok(()) => tracing::info!(rules = count, cost, unindexed, "rules replaced"),
+                    Err(e) => tracing::error!(error = %e, "the old rules stay"),
+                }
+            }
+            Err(faults) => {
+                for fault in &faults {
+                    tracing::error!(fault = fault.line, "rules");
+                }
+                tracing::error!(faults = faults.len(), "the old rules stay");
+            }
+        }
+    }
+
     /// Follows the name table at this agent from now on; the list held stays until the agent tells another.
     fn follow(self: &Rc<Self>, agent: Option<SocketAddr>) {
         if self.agent.borrow().as_ref().map(|(addr, _)| *addr) == agent {
@@ -173,6 +196,9 @@
             links = self.upstream.open(),
             "figures"
         );
+        if let Some((ready, faults)) = self.hub.pools() {
+            tracing::info!(ready, faults, "pools");
+        }
     }
 }
 
@@ -202,10 +228,14 @@
     path: PathBuf,
     mut held: Config,
     inventory: Option<Inventory>,
+    rules: Option<Source>,
 ) {
     let mut inventory = inventory;
     while hang_up.recv().await.is_some() {
         node.reload(&path, &mut held);
+        if let Some(rules) = &rules {
+            node.read_rules(rules);
+        }
         if let Some(inventory) = &mut inventory {
             match node.load(inventory) {
                 Ok(()) => tracing::info!("inventory read again"),
@@ -231,7 +261,26 @@
     let hub = node.hub.clone();
     if !config.known.is_null() {
         let news = hub.table().take(&config.known)?;
-        hub.with_core(|core, now| core.names(now, ListKind::Cached, news.entries));
+        hub.names(ListKind::Cached, news.entries);
+    }
+    let rules = Source::of(&operator);
+    if let Some(rules) = &rules {
+        let rules = rules.read(hub.platform()).map_err(|faults| {
+            let first = faults.first().map_or(String::new(), |fault| fault.line.clone());
+            let more = if faults.len() > 1 {
+                format!(" (and {} more: driftgap check)", faults.len() - 1)
+            } else {
+                String::new()
+            };
+            StartError::Routes(format!("{first}{more}"))
+        })?;
+        tracing::info!(
+            rules = rules.len(),
+            cost = rules.cost(),
+            unindexed = rules.unindexed(),
+            "rules in force"
+        );
+        hub.put_rules(rules).map_err(|e| StartError::Routes(e.to_string()))?;
     }
     let mut inventory = operator.inventory.as_ref().map(|i| Inventory::new(operator.folder.join(&i.file)));
     if let Some(inventory) = &mut inventory {
@@ -255,7 +304,7 @@
         front
     });
     config.known = serde_json::Value::Null;
-    spawn_local(hear(node.clone(), hang_up, path, config, inventory));
+    spawn_local(hear(node.clone(), hang_up, path, config, inventory, rules));
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -23,11 +23,26 @@
     pub inventory: Option<InventoryFile>,
     /// The hook before the decision.
     pub plugin: Option<PluginSettings>,
+    /// Rules: in a file of their own, or here.
+    pub routes: Option<Routes>,
+    /// The file itself.
+    #[serde(skip)]
+    pub path: PathBuf,
     /// Where relative paths count from.
     #[serde(skip)]
     pub folder: PathBuf,
 }
 
+/// Where the rules are. Their form is judged where they are read, with the place of every fault.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Routes {
+    /// A file of their own.
+    pub file: Option<PathBuf>,
+    /// What stands here besides.
+    #[serde(flatten)]
+    pub here: toml::Table,
+}
+
 /// The inventory.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -86,6 +101,9 @@
                 return wrong("http2.connections", "must be from 1 to 10000");
             }
         }
+        if operator.routes.as_ref().is_some_and(|routes| routes.file.is_some() && !routes.here.is_empty()) {
+            return wrong("routes.file", "stands beside rules: they are in a file of their own or here");
+        }
         if let Some(plugin) = &operator.plugin {
             if plugin.operations == 0 {
                 return wrong("plugin.operations", "must be above 0");
@@ -104,7 +122,8 @@
     pub fn read(path: &Path) -> Result<Operator, OperatorError> {
         let text = std::fs::read_to_string(path).map_err(|e| OperatorError(e.to_string()))?;
         let operator = Operator::parse(&text)?;
-        Ok(Operator { folder: path.parent().unwrap_or(Path::new("")).to_path_buf(), ..operator })
+        let folder = path.parent().unwrap_or(Path::new("")).to_path_buf();
+        Ok(Operator { folder, path: path.to_path_buf(), ..operator })
     }
 }
 
@@ -129,6 +148,7 @@
             ("[plugin]\nscript = \"x\"\non_error = \"maybe\"\n", "plugin.on_error"),
             ("[plugin]\nscript = \"x\"\nsize = 0\n", "plugin.size"),
             ("[inventory]\nfile = 1\n", "inventory.file"),
+            ("[routes]\nfile = \"r.toml\"\n[[routes.rule]]\nname = \"a\"\n", "routes.file"),
             ("[htpp2]\n", "htpp2"),
             ("[http2\n", "line 1"),
         ];
--- /dev/null
+++ b/src/routing.rs
@@ -0,0 +1,190 @@
+//! The operator's rules in the ingress: from their file to a router, from a request of either wire to what rules
+//! see, from what they say to a command. It owns the turn between `driftgap_routes` and the core's terms. It
+//! must never decide where a request belongs (the rules do), whom to serve (the module does), or let a rule
+//! touch what the platform's protocol says of a command.
+
+use crate::api::Effect;
+use crate::core::{BadCommand, Command};
+use crate::operator::Operator;
+use crate::settings::Platform;
+use driftgap_routes::{Catalog, Effect as RuleEffect, Fault, Headers, Mapped, Request, Rules};
+use http::HeaderMap;
+use std::net::IpAddr;
+use std::path::PathBuf;
+
+/// Where rules are read from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Source {
+    path: PathBuf,
+    /// The table of the file that holds them; none: the file holds nothing else.
+    part: Option<&'static str>,
+}
+
+impl Source {
+    /// The operator's rules, if there are any.
+    pub fn of(operator: &Operator) -> Option<Source> {
+        let routes = operator.routes.as_ref()?;
+        Some(match &routes.file {
+            Some(file) => Source { path: operator.folder.join(file), part: None },
+            None => Source { path: operator.path.clone(), part: Some("routes") },
+        })
+    }
+
+    /// A file of rules by itself.
+    pub fn file(path: PathBuf) -> Source {
+        Source { path, part: None }
+    }
+
+    /// Reads them.
+    ///
+    /// # Errors
+    /// Every fault of theirs.
+    pub fn read(&self, platform: &Platform) -> Result<Rules, Vec<Fault>> {
+        let name = self.path.display().to_string();
+        let text = std::fs::read_to_string(&self.path).map_err(|e| {
+            let line = format!("{name}: {e}");
+            vec![Fault { shown: line.clone(), line }]
+        })?;
+        Rules::read_part(&text, &name, self.part, &catalog(platform))
+    }
+}
+
+/// What rules are judged by.
+pub fn catalog(platform: &Platform) -> Catalog {
+    let effect = |effect| match effect {
+        Effect::Safe => RuleEffect::Pure,
+        Effect::Keyed => RuleEffect::Token,
+        Effect::Unsafe => RuleEffect::SideEffect,
+    };
+    let effects = platform.module.classes.iter().map(|class| effect(class.effect));
+    Catalog {
+        classes: platform.classes.iter().cloned().zip(effects).collect(),
+        plans: platform.plans.clone(),
+        most_units: platform.module.most_units,
+    }
+}
+
+/// A command of the platform's wire as rules see it; `path` is [`path`]'s.
+pub fn request_of<'a>(
+    platform: &'a Platform,
+    command: &'a Command,
+    path: &'a str,
+    headers: &'a dyn Headers,
+    client: IpAddr,
+) -> Request<'a> {
+    let ask = &command.ask;
+    let safe = platform.module.classes[ask.class].effect == Effect::Safe;
+    Request {
+        protocol: "resp",
+        method: if safe { "GET" } else { "POST" },
+        path,
+        query: None,
+        host: None,
+        headers,
+        class: Some(&platform.classes[ask.class]),
+        plan: Some(&platform.plans[ask.plan]),
+        partner: Some(&command.customer),
+        id: Some(&command.id),
+        units: Some(ask.units),
+        deadline_ms: Some(command.patience_ms as i64),
+        retry: ask.repeat,
+        length: command.body.as_ref().map(|body| body.len() as i64),
+        client,
+    }
+}
+
+/// The path that a command has on every wire.
+pub fn path(platform: &Platform, command: &Command) -> String {
+    format!("{}{}", driftgap_routes::COMMANDS, platform.classes[command.ask.class])
+}
+
+/// The headers of an HTTP/2 request.
+pub struct HeaderView<'a>(pub &'a HeaderMap);
+
+impl Headers for HeaderView<'_> {
+    fn get(&self, name: &str) -> Option<&[u8]> {
+        self.0.get(name).map(http::HeaderValue::as_bytes)
+    }
+
+    fn count(&self) -> usize {
+        self.0.len()
+    }
+}
+
+/// The command that a rule has made of a request. What neither names is taken so that it holds for every
+/// ingress: all of them may be the partner's, and the class's deadline is how long its client waits.
+///
+/// # Errors
+/// The value that makes no sense.
+pub fn command(
+    platform: &Platform,
+    mapped: Mapped,
+    request: &Request<'_>,
+    fresh_id: impl FnOnce() -> String,
+) -> Result<Command, BadCommand> {
+    let set = &platform.module;
+    let said = |ours: Option<String>, theirs: Option<&str>, name| {
+        ours.or_else(|| theirs.map(str::to_string)).ok_or(BadCommand::Term(name))
+    };
+    let plan = said(mapped.plan, request.plan, "plan")?;
+    let partner = said(mapped.partner, request.partner, "customer")?;
+    let units = mapped.units.or(request.units).ok_or(BadCommand::Term("units"))?;
+    let id = mapped.id.or_else(|| request.id.map(str::to_string)).unwrap_or_else(fresh_id);
+    let longest = (1e3 * set.classes[mapped.class].deadline) as i64;
+    let deadline = mapped.deadline_ms.or(request.deadline_ms).unwrap_or(longest);
+    // Guards the platform's wire, on which a comma would begin a further term.
+    if plan.contains(',') {
+        return Err(BadCommand::Term("plan"));
+    }
+    let spread = mapped.spread.unwrap_or(i64::from(set.gateways));
+    let first = mapped.first.unwrap_or(0);
+    let class = &platform.classes[mapped.class];
+    let mut terms = format!("c={class},t={plan},d={deadline},units={units},spread={spread},first={first}");
+    if request.retry {
+        terms.push_str(",r=1");
+    }
+    for (name, value) in &mapped.terms {
+        terms.extend([",", name, "=", value]);
+    }
+    Command::new(platform, &partner, &id, terms, None)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use driftgap_routes::NoHeaders;
+
+    const SETTINGS: &str = include_str!("../tests/stage/settings.json");
+
+    fn platform() -> Platform {
+        let config = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#);
+        crate::settings::Config::parse(&config).unwrap().platform
+    }
+
+    #[test]
+    fn what_a_rule_leaves_out_is_the_clients_or_holds_everywhere() {
+        let platform = platform();
+        let list = "c=fetch-episode,t=city,d=900,units=2,spread=1,first=0".to_string();
+        let own = Command::new(&platform, "0000000000000007", "k1", list, None).unwrap();
+        let path = path(&platform, &own);
+        let seen = request_of(&platform, &own, &path, &NoHeaders, IpAddr::from([127, 0, 0, 1]));
+        assert_eq!((seen.path, seen.method, seen.units), ("/commands/fetch-episode", "GET", Some(2.0)));
+        let class = own.ask.class;
+        let mapped = Mapped {
+            class,
+            units: Some(1.5),
+            terms: vec![("episode".into(), "7".into())],
+            ..Mapped::default()
+        };
+        let made = command(&platform, mapped.clone(), &seen, || "fresh".into()).unwrap();
+        assert_eq!((made.ask.units, &*made.id, made.patience_ms), (1.5, "k1", 900.0));
+        assert!(made.terms.ends_with(",episode=7"), "{}", made.terms);
+        let anonymous = Request { id: None, deadline_ms: None, partner: None, ..seen };
+        let made = |mapped| command(&platform, mapped, &anonymous, || "fresh".into());
+        assert_eq!(made(mapped.clone()), Err(BadCommand::Term("customer")));
+        let partner = Some("0000000000000009".to_string());
+        let made = made(Mapped { partner, ..mapped }).unwrap();
+        let deadline = 1e3 * platform.module.classes[class].deadline;
+        assert_eq!((&*made.id, made.patience_ms, made.ask.customer), ("fresh", deadline, 9));
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,13 @@
 //! What the module remembers: plain data, no decisions. `src/balance.rs` gives it its meaning.
 
-use crate::api::{Action, CustomerId, Field, Group, HostEntry, HostId, HostState, Request, RequestId};
+use crate::api::{Action, CustomerId, Field, Group, HostEntry, HostId, HostState, Pools, Request, RequestId};
 use crate::balance::Gateway;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A class and a plan.
 pub(crate) type Kind = (usize, usize);
+/// What a host is chosen for: a class and a plan, and the pools that may serve it.
+pub(crate) type Ask = (Kind, Pools);
 /// The hosts that share keys with one in this zone and cell.
 pub(crate) type Peers = (Group, u32, u32);
 
@@ -15,6 +17,7 @@
     pub(crate) cell: u32,
     pub(crate) size: f64,
     pub(crate) ready: bool,
+    pub(crate) pools: Pools,
     pub(crate) gone: bool,
     pub(crate) started: f64,
     pub(crate) out: u32,
@@ -87,6 +90,11 @@
     pub(crate) fn kind(&self) -> Kind {
         (self.request.class, self.request.plan)
     }
+
+    /// What its hosts are chosen for.
+    pub(crate) fn ask(&self) -> Ask {
+        (self.kind(), self.request.pools)
+    }
 }
 
 #[derive(Default)]
@@ -214,7 +222,7 @@
                 h.avoid.clear();
             }
             (h.zone, h.cell, h.size) = (e.zone, e.cell, if e.size > 0.0 { e.size } else { 1.0 });
-            h.ready = e.state == HostState::Ready;
+            (h.ready, h.pools) = (e.state == HostState::Ready, e.pools);
             h.gone = e.state == HostState::Gone;
         }
         self.hosts.retain(|_, h| !h.gone || h.out > 0);
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -99,3 +99,37 @@
     assert_eq!((code, said.lines().count()), (Some(2), 2), "{said}");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn rules_are_checked_explained_and_measured() {
+    let folder = std::env::temp_dir().join(format!("driftgap-rules-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let config = format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#);
+    std::fs::write(folder.join("config.json"), config).unwrap();
+    let example = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples");
+    let bad = std::fs::read_to_string(example.join("rules.toml")).unwrap();
+    let bad = bad.replace(r#"request.method == "POST" && "#, "").replace("book-rebroadcast", "fetch-episode");
+    std::fs::write(folder.join("bad.toml"), bad).unwrap();
+    let run = |words: &[&str], file: PathBuf| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_driftgap"));
+        command.arg("--config").arg(folder.join("config.json")).arg("rules").arg(words[0]).arg(file);
+        if words.len() > 1 {
+            command.arg("--request").arg(example.join(words[1]));
+        }
+        let out = command.output().unwrap();
+        (out.status.code(), String::from_utf8(out.stdout).unwrap() + &String::from_utf8(out.stderr).unwrap())
+    };
+    let (code, said) = run(&["check"], example.join("rules.toml"));
+    assert!(code == Some(0) && said.starts_with("ok: 3 rules, 1 of them"), "{said}");
+    let (code, said) = run(&["explain", "request.json"], example.join("rules.toml"));
+    for want in
+        ["per-partner: matches", "audio: matches", "booking: behind", "command fetch-episode", "\"7\""]
+    {
+        assert!(code == Some(0) && said.contains(want), "{want} in {said}");
+    }
+    let (code, said) = run(&["bench", "request.json"], example.join("rules.toml"));
+    assert!(code == Some(0) && said.lines().count() == 3, "{said}");
+    let (code, said) = run(&["check"], folder.join("bad.toml"));
+    assert!(code == Some(2) && said.contains("safe to repeat") && said.contains("^^^"), "{said}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
