--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -105,7 +105,7 @@
          send c k2 fetch-episode city 7
          expect c k2 served ok
          send c k3 fetch-episode city 7
-         expect c k3 busy
+         advice c k3 1000 2000
          send c k4 fetch-episode city 8
          expect c k4 served ok
          rules {limit}[[rule]]\\nname = 'n'\\nwhen = 'request.partner.orValue(\"\") == \"0000000000000009\"'\\nnack = 'duration(\"100ms\")'\\n
@@ -143,27 +143,14 @@
 #[test]
 fn the_time_to_come_back_is_told_exactly() {
     let rules = "[[rule]]\\nname = 'n'\\nwhen = 'request.partner.orValue(\"\") == \"0000000000000009\"'\\nnack = 'duration(\"1234ms\")'\\n";
-    let command = "*4\\r\\n$9\\r\\nSVC.QUERY\\r\\n$16\\r\\n0000000000000009\\r\\n$1\\r\\n2\\r\\n\
-                   $55\\r\\nc=fetch-episode,t=city,d=1000,units=2,spread=1,first=0,\\r\\n";
-    let command = command.replace("first=0,", "first=0").replace("$55", "$54");
-    play(
-        Wire::Resp,
-        Wire::Resp,
-        &format!(
-            "rules {rules}
-             raw c {command}
-             expect c 2 busy"
-        ),
-    );
-    play(
-        Wire::Http2,
-        Wire::Resp,
-        &format!(
-            "rules {rules}
-             get c k /commands/fetch-episode api-customer=0000000000000009 req-id=k api-plan=city req-deadline-ms=900 api-terms=units=2,spread=1,first=0
-             header c k retry-after-ms 1234"
-        ),
-    );
+    play_all(&format!(
+        "rules {rules}
+         send c k1 fetch-episode city 9
+         advice c k1 1234 1234
+         send c k2 book-rebroadcast city 9
+         advice c k2 1234 1234
+         runs k1 0"
+    ));
 }
 
 const AUDIO: &str = "[effects.paths]\\n'/bookings/' = 'side_effect'\\n[[rule]]\\nname = 'audio'\\n\
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -21,7 +21,7 @@
 //!     pooled I BITS                        discovery tells of an instance with the label pool=BITS
 //!     flood C N                            a client sends N commands with ids of their own, some at a time, and reads all answers
 //!     memory / memory MB                   notes the program's memory / it has grown by so much at most
-//!     header C K NAME VALUE                the answer has this header (HTTP/2)
+//!     advice C K LEAST MOST                the answer is a refusal, to come back in so many ms
 //!     get C K PATH [NAME=VALUE ...]        a client asks for a path by GET, with these headers (HTTP/2)
 //!     post C K PATH [NAME=VALUE ...]       the same by POST
 //!     config TEXT                          the configuration file holds this, and is read again (SIGHUP)
@@ -692,16 +692,24 @@
                 let grown = self.resident() - self.memory;
                 assert!(grown <= most.parse().unwrap(), "{:?}: {line}: {grown} MB", self.front);
             }
-            ["header", name, id, header, value] => {
-                let Some(Client::Http2 { streams, .. }) = self.clients.get_mut(*name) else {
-                    panic!("HTTP/2 alone")
+            ["advice", name, id, least, most] => {
+                let ms: u64 = match self.clients.get_mut(*name).unwrap() {
+                    Client::Http2 { streams, .. } => {
+                        let response = streams.remove(*id).unwrap().0.await.unwrap();
+                        response.headers()["retry-after-ms"].to_str().unwrap().parse().unwrap()
+                    }
+                    Client::Resp { stream, buffer, sent } => {
+                        while !buffer.ends_with(b"\r\n") && read_some(stream, buffer).await {}
+                        let text = String::from_utf8_lossy(buffer).to_string();
+                        buffer.clear();
+                        sent.pop_front();
+                        let ms = text.strip_prefix("-BUSY ").unwrap_or_else(|| panic!("{line}: {text}"));
+                        ms.trim().parse().unwrap()
+                    }
                 };
-                let response = streams.remove(*id).unwrap().0.await.unwrap();
-                assert_eq!(
-                    response.headers().get(*header).map(|v| v.to_str().unwrap()),
-                    Some(*value),
-                    "{line}"
-                );
+                let range = least.parse::<u64>().unwrap()..=most.parse().unwrap();
+                assert!(range.contains(&ms), "{:?}: {line}: {ms}", self.front);
+                self.answers.push("advice".into());
             }
             ["config", text @ ..] => {
                 std::fs::write(self.folder.join("config.json"), text.join(" ")).unwrap();
