The ingress reads inventories by the new crate: states, folders, all faults, held lists

The ingress still read inventories by its first reader, which passed over a state column and the other faults that the crate was built for.

src/inventory.rs now reads a file or a folder, refuses one that changes while it is read, hands it to driftgap_inventory, and brings states, start times and labels to the name table; a list that takes out too much at once is held back until it is read again unchanged. SIGHUP logs every fault, driftgap check prints them.

--- a/crates/inventory/src/tree.rs
+++ b/crates/inventory/src/tree.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 
 /// Deepest nesting of a file.
-const MOST_DEPTH: usize = 64;
+const MOST_DEPTH: usize = 32;
 /// Most values of a file, with all that anchors unfold to.
 const MOST_NODES: usize = 1_500_000;
 
@@ -124,6 +124,7 @@
     let options = serde_saphyr::options! {
         budget: serde_saphyr::budget! {
             max_depth: MOST_DEPTH,
+            flow_nesting_limit: MOST_DEPTH,
             max_nodes: MOST_NODES,
             max_events: 2 * MOST_NODES,
         },
--- a/src/check.rs
+++ b/src/check.rs
@@ -60,9 +60,11 @@
     }
     // Without the settings no zone is known, and each would seem wrong.
     if let (Some(inventory), Some(_)) = (&operator.inventory, &config) {
-        let mut inventory = Inventory::new(operator.folder.join(&inventory.file));
-        if let Err(e) = inventory.load(&mut table) {
-            note(&format!("inventory {}", inventory.path().display()), &e);
+        let mut inventory = Inventory::new(inventory.clone(), &operator.folder);
+        if let Err(e) = inventory.load(&mut table, 0.0) {
+            for line in e.lines() {
+                note(&format!("inventory {}", inventory.path().display()), &line);
+            }
         }
     }
     faults
--- a/src/name_table.rs
+++ b/src/name_table.rs
@@ -119,9 +119,9 @@
         self.zones.iter().position(|z| z == name).unwrap_or(self.zones.len()) as u32
     }
 
-    /// Whether the settings name this zone.
-    pub fn has_zone(&self, name: &str) -> bool {
-        self.zones.iter().any(|z| z == name)
+    /// The zones of the settings.
+    pub fn zones(&self) -> &[String] {
+        &self.zones
     }
 
     /// Keeps what the inventory names: a whole list of discovery's must not end it.
--- a/src/node.rs
+++ b/src/node.rs
@@ -97,8 +97,12 @@
 
     /// Reads the inventory into the name table and tells the core what changed.
     fn load(&self, inventory: &mut Inventory) -> Result<(), StartError> {
-        let loaded = inventory.load(&mut self.hub.table());
-        let entries = loaded.map_err(|e| StartError::Inventory(inventory.path().display().to_string(), e))?;
+        let loaded = inventory.load(&mut self.hub.table(), self.hub.now());
+        let (entries, warnings) =
+            loaded.map_err(|e| StartError::Inventory(inventory.path().display().to_string(), e))?;
+        for warning in driftgap_inventory::summary(&warnings) {
+            tracing::warn!(warning, "inventory");
+        }
         self.hub.names(ListKind::Delta, entries);
         // Those that drain are held until the next reading finds them gone from the list before.
         self.hub.table().forget(|id| inventory.dropped(id));
@@ -239,6 +243,12 @@
         if let Some(inventory) = &mut inventory {
             match node.load(inventory) {
                 Ok(()) => tracing::info!("inventory read again"),
+                Err(StartError::Inventory(path, e)) => {
+                    for fault in e.lines() {
+                        tracing::error!(path, fault, "inventory");
+                    }
+                    tracing::error!(path, "the old list stays");
+                }
                 Err(e) => tracing::error!(error = %e, "the old list stays"),
             }
         }
@@ -282,7 +292,7 @@
         );
         hub.put_rules(rules).map_err(|e| StartError::Routes(e.to_string()))?;
     }
-    let mut inventory = operator.inventory.as_ref().map(|i| Inventory::new(operator.folder.join(&i.file)));
+    let mut inventory = operator.inventory.clone().map(|i| Inventory::new(i, &operator.folder));
     if let Some(inventory) = &mut inventory {
         node.load(inventory)?;
     }
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -3,6 +3,7 @@
 //! never repeat a setting of the platform's.
 
 use crate::front::http2::Limits;
+use crate::inventory::InventorySettings;
 use crate::plugin::PluginSettings;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -20,7 +21,7 @@
     /// The HTTP/2 front; off where it is absent.
     pub http2: Option<Http2>,
     /// Instances beside those that discovery names.
-    pub inventory: Option<InventoryFile>,
+    pub inventory: Option<InventorySettings>,
     /// The hook before the decision.
     pub plugin: Option<PluginSettings>,
     /// Rules: in a file of their own, or here.
@@ -43,14 +44,6 @@
     pub here: toml::Table,
 }
 
-/// The inventory.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct InventoryFile {
-    /// CSV (`.csv`) or YAML.
-    pub file: PathBuf,
-}
-
 /// The HTTP/2 front.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -101,6 +94,16 @@
                 return wrong("http2.connections", "must be from 1 to 10000");
             }
         }
+        if let Some(inventory) = &operator.inventory {
+            for (field, share) in [("shorter", inventory.shorter), ("taken_out", inventory.taken_out)] {
+                if !(0.0..=1.0).contains(&share) {
+                    return wrong(&format!("inventory.{field}"), "must be from 0 to 1");
+                }
+            }
+            if !(0.0..=3.6e6).contains(&inventory.confirm_after_ms) {
+                return wrong("inventory.confirm_after_ms", "must be from 0 to 3600000");
+            }
+        }
         if operator.routes.as_ref().is_some_and(|routes| routes.file.is_some() && !routes.here.is_empty()) {
             return wrong("routes.file", "stands beside rules: they are in a file of their own or here");
         }
@@ -148,6 +151,7 @@
             ("[plugin]\nscript = \"x\"\non_error = \"maybe\"\n", "plugin.on_error"),
             ("[plugin]\nscript = \"x\"\nsize = 0\n", "plugin.size"),
             ("[inventory]\nfile = 1\n", "inventory.file"),
+            ("[inventory]\nfile = \"x\"\nshorter = 2\n", "inventory.shorter"),
             ("[routes]\nfile = \"r.toml\"\n[[routes.rule]]\nname = \"a\"\n", "routes.file"),
             ("[htpp2]\n", "htpp2"),
             ("[http2\n", "line 1"),
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -489,3 +489,47 @@
          runs k2 0",
     );
 }
+
+#[test]
+fn an_instance_that_the_inventory_has_as_draining_gets_nothing_new_and_finishes() {
+    play_all(
+        "state a left
+         state b left
+         inventory extra
+         wait 100
+         send c k1 book-rebroadcast city 7
+         expect extra k1
+         inventory extra=draining
+         wait 100
+         send d k2 fetch-episode city 8 d=600
+         wait 700
+         runs k2 0
+         answer extra k1 value done
+         expect c k1 served done
+         inventory extra=active
+         wait 100
+         send e k3 fetch-episode city 8
+         answer extra k3 value again
+         expect e k3 served again
+         inventory extra=out
+         wait 100
+         send f k4 fetch-episode city 8 d=600
+         wait 700
+         runs k4 0",
+    );
+}
+
+#[test]
+fn two_nodes_at_one_address_keep_the_last_good_inventory() {
+    play_all(
+        "state a left
+         state b left
+         inventory extra
+         wait 100
+         inventory extra extra
+         wait 100
+         send c k1 fetch-episode city 7
+         answer extra k1 value news
+         expect c k1 served news",
+    );
+}
