Thin customers: the store itself is kept on the counter and asked for each request

Ruled out: the counter (15,358 calls, all answered, none later than 19 ms), instances (51 errors a second at most), discovery.

Cause: draw_thin and tally in src/balance.rs. A thin customer's quota was taken to be handed out for 85% by even shares. With 50 to 100 gateways a share holds 3 bursts / spread, a tenth of a request, so that it hands out next to nothing; the counter's part was still cut down to the 15% that the shares should have left. And each gateway judged by a total up to three bursts old, since it meets a customer once in five seconds.

Change: the number on the counter is the store: units taken less rate x time is what it lacks. A call takes a request's units and tells whether they fit; what does not fit goes back with the next call; what came in beyond a full store is taken off by whoever sees it, and once only. Numbers change every 25 s, for each customer at another time; the first gateway to come carries over what the last one lacked. A customer just refused is not asked for before there can be room, and then for three tenths of what comes. What a strained counter is not asked fares by its plan, pooled over customers. Strain fades with time, as a gateway that makes few calls never got rid of what it starts with.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,7 +4,9 @@
 //! `docs/design.md` tells what comes from the paper and what departs from it.
 
 use crate::api::*;
-use crate::state::{lot, Ask, Attempt, Avoid, Customer, Host, Kind, Memory, Open, Peers};
+use crate::state::{
+    lot, store_window, Ask, Attempt, Avoid, Customer, Host, Kind, Memory, Open, Peers, STORE,
+};
 
 /// Housekeeping period, s: short beside any aim, long beside the cost of one pass.
 const TICK: f64 = 0.05;
@@ -29,39 +31,30 @@
 /// Window lengths, s: burst over rate within these.
 const WINDOW: (f64, f64) = (1.0, 25.0);
 /// A block covers this much demand, s; the demand's memory, s.
-const BLOCK: f64 = 0.4;
-const DEMAND: f64 = 1.5;
+const BLOCK: (f64, f64) = (0.4, 1.5);
 /// Under a ceiling: most of the burst that all gateways together hold in blocks, unspent.
 const HOARD: f64 = 0.2;
 /// A customer is thin where a gateway's part of its burst is under this many mean requests.
 const THIN: f64 = 0.7;
 /// Wait advised with a refusal that says nothing of the quota, in aims: a retry can still earn.
 const ADVICE: f64 = 0.3;
-/// Thin customers: window length in bursts over rate; share of the burst allowed at a window's start, whose
-/// carry-over nobody knows; share of calls made although the chance is remembered from this or the last
-/// window.
+/// Thin customers, in bursts: what the store may hold too much before it is put right; most of an even share;
+/// and the weight of an answer in how a plan's requests fare.
+const SLACK: f64 = 0.25;
 const LONG: f64 = 3.0;
-const KEEP: f64 = 0.5;
-const REFRESH: f64 = 0.25;
-/// Part of a thin customer's quota that its gateways share evenly, by dice and without a call.
-const EVEN: f64 = 0.85;
-/// Part of its quota at which a thin customer is held: by dice it strays, and what is beyond costs.
-const FILL: f64 = 0.8;
-/// Least worth of a request let in unasked, after what it would cost beyond the quota.
-const BLIND: f64 = 0.4;
-/// Memory of how often a plan's customers are let in when first asked for, per call.
-const BASE: f64 = 0.2;
-/// Strain of the counter: start, rise by a bad call, fall by a good one, most; a call is bad if it fails or
-/// takes this share of the wait for an answer.
-const STRAIN: (f64, f64, f64, f64) = (0.3, 0.3, 0.06, 0.95);
+const BASE: f64 = 0.03;
+/// For a customer refused this short ago, s, others ask too: only this part of what comes is asked for.
+const BESET: (f64, f64) = (3.0, 0.3);
+/// Strain of the counter: start, rise by a bad call, fall by a good one, most; what a second leaves of it; a
+/// call is bad if it fails or takes this share of the wait for an answer.
+const STRAIN: (f64, f64, f64, f64, f64) = (0.3, 0.3, 0.06, 0.95, 0.8);
 const SLOW_CALL: f64 = 0.4;
 /// Failed counter calls in a row that mean silence.
 const SILENT: u32 = 3;
-/// A call's total is awaited this long, s: without one it counted nothing, or has been read since.
+/// A call's total is awaited this long, s.
 const LATE: f64 = 5.0;
-/// Windows after its start in which a gateway reads the last total of a customer that it meets.
+/// Windows after its start in which a gateway reads new customers' last totals; idle ones to be as good as new.
 const YOUNG: f64 = 2.0;
-/// Windows without a request after which a customer is as good as new.
 const IDLE: f64 = 3.0;
 /// Most customers remembered; those idle longest go first.
 const CUSTOMERS: usize = 20_000;
@@ -75,16 +68,15 @@
 const EJECT_SHARE: f64 = 0.5;
 /// An attempt out for this many typical latencies no longer counts as load.
 const STUCK: f64 = 2.5;
-/// Unless so many are: weight of one attempt in their share, and the share that means load, not hung hosts.
+/// Unless so many are: weight of one attempt in their share, and the share that means load.
 const SLOW: (f64, f64) = (0.08, 0.25);
 /// A host that failed a class, or turned a plan away, is left out for it this long, s: at most, as after an
 /// error, and at first where load may have been the cause.
 const AVOID: (f64, f64) = (20.0, 2.0);
-/// Latency memory: weight of a sample; most that one sample counts, in typical latencies.
+/// Latency memory: weight of a sample; most that one counts, in typical latencies; the first, in aims.
 const LEARN: f64 = 0.1;
-/// Latency before any is known, as a share of the aim.
-const FIRST_GUESS: f64 = 0.25;
 const WORST: f64 = 10.0;
+const FIRST_GUESS: f64 = 0.25;
 /// Slowness is forgotten with this time constant, s, so that a host is tried again.
 const FORGET: f64 = 8.0;
 /// A load report is believed for this long, s.
@@ -113,9 +105,9 @@
 }
 
 impl Plan {
-    /// Length of a window of so many bursts.
-    fn window(&self, bursts: f64) -> f64 {
-        (bursts * self.burst / self.rate).clamp(WINDOW.0, WINDOW.1)
+    /// Length of a window of a customer that is not thin.
+    fn window(&self) -> f64 {
+        (self.burst / self.rate).clamp(WINDOW.0, WINDOW.1)
     }
 }
 
@@ -133,7 +125,7 @@
             tokens: SAVED / 2.0,
             strain: STRAIN.0,
             pace: PACE.0,
-            base: vec![0.7; set.plans.len()],
+            base: vec![0.9; set.plans.len()],
             ..Memory::default()
         };
         Ok(Gateway { rng: oorandom::Rand32::new(seed), m, set })
@@ -189,8 +181,7 @@
         }
         let drawn = self.draw(now, &request, actions);
         if let Draw::Beyond(wait) = drawn {
-            let thin = self.m.customers.get(&request.customer).is_some_and(|c| c.thin);
-            return self.refuse(id, if thin { ADVICE * aim } else { wait.max(0.5) }, actions);
+            return self.refuse(id, wait.max(0.5), actions);
         }
         let after = (request.give_up - now - self.set.resolution).max(0.0);
         actions.push(Action::Timer { after, token: (1 << 32) | u64::from(id) });
@@ -208,7 +199,7 @@
             self.m.tokens = (self.m.tokens + EARN).min(SAVED);
             return self.send(now, id, host, actions);
         }
-        if let Some(c) = self.m.customers.get_mut(&customer).filter(|c| !c.thin) {
+        if let Some(c) = self.m.customers.get_mut(&customer) {
             c.hand += units;
         }
         self.answer(id, actions);
@@ -271,12 +262,10 @@
             let thin = self.set.counter && plan.ceiling_rate <= 0.0 && plan.burst < units_each;
             let mut fresh = Customer::new(request, thin, spread, now);
             (fresh.carry, fresh.share, fresh.reserve_at) = (plan.burst, plan.burst / spread, self.m.boot);
-            // A gateway that has just started may have served it a moment ago: as one met in the last window,
-            // with half a store before, so that the last total is read.
-            if plan.rate > 0.0 && now - self.m.boot < YOUNG * plan.window(1.0) {
-                let half = 0.5 * plan.burst;
-                (fresh.window, fresh.known) = ((now / plan.window(1.0)).floor() as i64 - 1, true);
-                (fresh.carry, fresh.total) = (half, half);
+            // One that has just started may have served it a moment ago: it reads the last total.
+            if plan.rate > 0.0 && now - self.m.boot < YOUNG * plan.window() {
+                (fresh.window, fresh.known) = ((now / plan.window()).floor() as i64 - 1, true);
+                (fresh.carry, fresh.total) = (0.5 * plan.burst, 0.5 * plan.burst);
             }
             self.m.customers.insert(id, fresh);
         }
@@ -284,11 +273,10 @@
         let hold = silent && self.dice(self.m.strain);
         let outage = self.m.outage_at;
         let Some(c) = self.m.customers.get_mut(&id) else { return Draw::Beyond(0.0) };
-        c.demand = c.demand * (-(now - c.last) / DEMAND).exp() + units / DEMAND;
+        c.demand = c.demand * (-(now - c.last) / BLOCK.1).exp() + units / BLOCK.1;
         c.units += 0.05 * (units - c.units);
         c.last = now;
-        // At-once cap: an even part of it, the odd ones by turn; the parts sum to the cap, so gateways that
-        // do not see each other never pass it together. Harm: uneven traffic leaves parts of it unused.
+        // At-once cap: an even part of it, the odd ones by turn. Harm: uneven traffic leaves parts unused.
         if plan.at_once > 0 {
             let (n, cap) = (request.spread.clamp(1, self.set.gateways), plan.at_once);
             let all = self.set.gateways;
@@ -312,7 +300,7 @@
             c.reserve = (c.reserve + rate * (now - c.reserve_at)).min(most);
             c.reserve_at = now;
         }
-        let start = c.window as f64 * plan.window(1.0);
+        let start = c.window as f64 * plan.window();
         let alone = !self.set.counter || silent || start < outage;
         c.share = (c.share + plan.rate / c.spread * (now - c.share_at)).min(plan.burst / c.spread);
         c.share_at = now;
@@ -336,13 +324,12 @@
         drawn
     }
 
-    /// Answers what waits for a block: let in as far as the hand or, after a failed call, the share lasts;
-    /// what is left waits for a further call, or is beyond the quota.
+    /// Answers what waits for a block: let in as far as the hand or, after a failed call, the share lasts.
     fn settle(&mut self, now: f64, id: CustomerId, failed: bool, actions: &mut Vec<Action>) {
         let Some(c) = self.m.customers.get_mut(&id) else { return };
         let plan = &self.set.plans[c.plan];
         let (mut served, mut left) = (Vec::new(), Vec::new());
-        let alone = c.window as f64 * plan.window(1.0) < self.m.outage_at;
+        let alone = c.window as f64 * plan.window() < self.m.outage_at;
         for (request, units) in std::mem::take(&mut c.held) {
             // What the share lends while the counter goes on is counted by the next call.
             let lent = c.hand < units && failed && c.take_share(units, plan);
@@ -368,83 +355,89 @@
         }
     }
 
-    /// Where a gateway's part of a quota is a request or less, blocks would strand it and a call a request
-    /// would drown the counter. Most of it is an even share, drawn by dice so that parts of a unit count
-    /// without bias. For the rest the counter counts what is asked, each call weighted by its odds, and
-    /// where that is beyond the quota all gateways let in the same part of it. Harm: dice stray on both
-    /// sides.
+    /// Where a gateway's part of a quota is a request or less, blocks and even shares would strand it: the store
+    /// itself is kept on the counter, and a call asks it for each request. What a strained counter is not asked
+    /// fares as what was asked, and weighs on it. Harm: a call a request, and one more for each refused.
     fn draw_thin(&mut self, now: f64, request: &Request, plan: &Plan, actions: &mut Vec<Action>) -> Draw {
-        let (strain, units, id) = (self.m.strain, request.units, request.customer);
-        let [share, call] = [(); 2].map(|()| f64::from(self.rng.rand_float()));
-        let Some(c) = self.m.customers.get_mut(&id) else { return Draw::Beyond(0.0) };
-        let alone = self.m.call_fails >= SILENT;
-        let rate = if alone { 1.0 } else { EVEN } * plan.rate / c.spread;
-        c.share = (c.share + rate * (now - c.share_at)).min(rate * LONG * plan.burst / plan.rate);
-        c.share_at = now;
-        let chance = c.share / units.max(1e-9);
-        c.share = (c.share - units).max(0.0);
-        if share < chance {
-            return Draw::Granted;
-        }
-        let length = plan.window(LONG);
-        let known = now - c.known_at < length;
-        let odds = (1.0 - strain) * if known { REFRESH } else { 1.0 };
-        let (flying, asks) = (c.in_flight.is_some(), call < odds);
-        let (pass, wait) = (c.pass, !known && (flying || asks));
-        if wait {
-            c.held.push((request.id, units));
+        let (odds, silent) = (1.0 - self.m.strain, self.m.call_fails >= SILENT);
+        let [asks, luck] = [(); 2].map(|()| f64::from(self.rng.rand_float()));
+        let Some(c) = self.m.customers.get_mut(&request.customer) else { return Draw::Beyond(0.0) };
+        if now < c.blocked_until || now - c.blocked_until < BESET.0 && luck >= BESET.1 {
+            return Draw::Beyond(c.blocked_until - now);
         }
-        if !flying && asks {
-            let window = (now / length).floor() as i64;
-            actions.push(self.m.call(now, id, window, units / odds, 2.0 * length));
+        if asks >= odds {
+            let fits = luck < c.unasked(now, request.units, plan, silent, self.m.base[request.plan]);
+            return if fits { Draw::Granted } else { Draw::Beyond(plan.burst / plan.rate) };
         }
-        if wait {
-            return Draw::Held;
-        }
-        let pass = if known { pass } else { self.blind(request.plan) };
-        if self.dice(pass) {
-            Draw::Granted
-        } else {
-            Draw::Beyond(plan.burst / plan.rate)
+        c.held.push((request.id, request.units / odds));
+        if c.in_flight.is_none() {
+            self.ask_store(now, request.customer, actions);
         }
+        Draw::Held
     }
 
-    /// The total of what was asked in this window: from it the part that is let in.
-    fn tally(&mut self, now: f64, id: CustomerId, window: i64, total: Option<f64>, to: &mut Vec<Action>) {
+    /// Takes from the store for all that wait, together with what is to be put right.
+    fn ask_store(&mut self, now: f64, id: CustomerId, actions: &mut Vec<Action>) {
+        let Some(c) = self.m.customers.get_mut(&id) else { return };
+        c.covered = c.held.len();
+        let amount = c.held.iter().map(|h| h.1).sum::<f64>() - std::mem::take(&mut c.hand);
+        actions.push(self.m.call(now, id, store_window(now, id).0, amount, 2.2 * STORE));
+    }
+
+    /// The store's number after a call: the units taken, less what comes in with time, are what it lacks.
+    fn tally(
+        &mut self,
+        now: f64,
+        id: CustomerId,
+        call: (f64, i64),
+        total: Option<f64>,
+        to: &mut Vec<Action>,
+    ) {
+        let silent = self.m.call_fails >= SILENT;
         let Some(c) = self.m.customers.get_mut(&id) else { return };
         let plan = self.set.plans[c.plan].clone();
-        if let Some(total) = total {
-            // Even shares take a small demand, or `EVEN` of a large one; the counter has what they leave.
-            let elapsed = now - window as f64 * plan.window(LONG);
-            let part = total / (FILL * plan.rate * elapsed + KEEP * plan.burst);
-            c.pass = ((1.0 - part).max(1.0 - EVEN) / part.max(1e-9)).clamp(0.0, 1.0);
-            c.known_at = now;
-            if !c.held.is_empty() {
-                self.m.base[c.plan] += BASE * (c.pass - self.m.base[c.plan]);
+        let asked: Vec<_> = c.held.drain(..std::mem::take(&mut c.covered)).collect();
+        let need: f64 = asked.iter().map(|h| h.1).sum();
+        let ((amount, window), (current, elapsed)) = (call, store_window(now, id));
+        let since = elapsed + STORE * (current - window) as f64;
+        let mut lacks = total.map(|t| t - need - plan.rate * since);
+        let first = total.is_some_and(|t| window == current && (t - amount).abs() < 0.01);
+        if let Some(l) = &mut lacks {
+            let put = amount - need;
+            if asked.is_empty() && window < current {
+                // What the last number lacked at its end, the new one lacks too.
+                c.hand -= (*l + plan.rate * elapsed).clamp(0.0, plan.burst);
+            } else if *l < -SLACK * plan.burst {
+                // A full store takes in nothing: what came in with time beyond it is taken off.
+                c.hand += std::mem::take(l);
+            } else if put >= 0.5 && *l >= put {
+                // Another gateway had just put the same right.
+                c.hand += put;
+                *l -= put;
             }
         }
-        let (plan, mut pass, held) = (c.plan, c.pass, std::mem::take(&mut c.held));
-        if total.is_none() {
-            pass = self.blind(plan);
+        let (luck, base) = (f64::from(self.rng.rand_float()), self.m.base[c.plan]);
+        let (let_in, refused): (Vec<_>, Vec<_>) = asked.into_iter().partition(|h| match &mut lacks {
+            Some(lacks) => c.fits(now, h.1, lacks, &plan),
+            None => luck < c.unasked(now, c.units, &plan, silent, base),
+        });
+        if lacks.is_some() && let_in.len() + refused.len() > 0 {
+            let part = let_in.len() as f64 / (let_in.len() + refused.len()) as f64;
+            self.m.base[c.plan] += BASE * (part - base);
+        }
+        let wait = (c.blocked_until - now).max(0.5);
+        if first && elapsed < plan.burst / plan.rate {
+            to.push(self.m.call(now, id, window - 1, 0.0, STORE));
+        } else if !c.held.is_empty() || c.hand.abs() >= 0.5 {
+            self.ask_store(now, id, to);
         }
-        for (id, _) in held {
-            if self.dice(pass) {
-                self.admit(now, id, to);
-            } else {
-                self.answer(id, to);
-            }
+        let_in.into_iter().for_each(|(request, _)| self.admit(now, request, to));
+        for (request, _) in refused {
+            self.refuse(request, wait, to);
+            self.m.finish(request);
         }
     }
 
-    /// Chance of a thin customer's request of which nothing is known: let in where, by how often its plan
-    /// is let in when asked for, it is worth more than it costs. Harm: excess gets in, so not while the
-    /// counter is silent.
-    fn blind(&self, plan: usize) -> f64 {
-        let base = self.m.base[plan];
-        let worth = base - (1.0 - base) * self.set.plans[plan].over_cost;
-        f64::from(u8::from(self.m.call_fails < SILENT && worth > BLIND))
-    }
-
     /// One counter add for a demand-sized block, before the hand is empty; at most one in flight.
     fn ask(&mut self, now: f64, id: CustomerId, alone: bool, actions: &mut Vec<Action>) {
         let Some(c) = self.m.customers.get_mut(&id) else { return };
@@ -462,10 +455,10 @@
         } else {
             // Units held in blocks come on top of what the store holds: under a ceiling they stay few.
             let most = if plan.ceiling_rate > 0.0 { HOARD / c.spread } else { 0.5 } * plan.burst;
-            let block = (c.demand * BLOCK).max(c.units).max(1.0).min(most.max(c.units));
+            let block = (c.demand * BLOCK.0).max(c.units).max(1.0).min(most.max(c.units));
             let need: f64 = c.held.iter().map(|h| h.1).sum();
             // A block of one request is not refilled ahead: one at each gateway is most of a small store.
-            let ahead = c.demand * BLOCK >= c.units;
+            let ahead = c.demand * BLOCK.0 >= c.units;
             if need <= 0.0 && (!ahead || c.hand >= block / 2.0) || now < c.blocked_until {
                 return;
             }
@@ -477,7 +470,7 @@
             }
             (c.window, amount)
         };
-        let lives = 3.0 * plan.window(1.0);
+        let lives = 3.0 * plan.window();
         actions.push(self.m.call(now, id, window, amount, lives));
     }
 
@@ -499,7 +492,7 @@
         }
         self.m.call_fails = if failed { self.m.call_fails + 1 } else { 0 };
         if c.thin {
-            return self.tally(now, id, window, (!failed).then_some(total), actions);
+            return self.tally(now, id, (amount, window), (!failed).then_some(total), actions);
         }
         if failed {
             let (added, may_be) =
@@ -533,7 +526,7 @@
             }
             c.own += amount;
             let before = total - amount;
-            let elapsed = now - c.window as f64 * plan.window(1.0);
+            let elapsed = now - c.window as f64 * plan.window();
             c.carry = c.carry.min(plan.burst + before - plan.rate * elapsed);
             let avail = c.carry + plan.rate * elapsed - before;
             let grant = avail.clamp(0.0, amount.max(0.0));
@@ -550,7 +543,7 @@
                 if excess >= 0.5 {
                     // Trim what the window did not hold.
                     c.total -= excess;
-                    actions.push(self.m.call(now, id, window, -excess, 3.0 * plan.window(1.0)));
+                    actions.push(self.m.call(now, id, window, -excess, 3.0 * plan.window()));
                 }
             }
         }
@@ -569,14 +562,13 @@
         }
     }
 
-    /// Drops customers of whom nothing is known that a new one would not be given: their stores are full, and
-    /// under a ceiling their reserve. Many come once and never again.
+    /// Drops customers of whom nothing is known that a new one would not be given: store and reserve are full.
     fn forget_idle(&mut self, now: f64) {
         let plans = &self.set.plans;
         self.m.customers.retain(|_, c| {
             let plan = &plans[c.plan];
             let fill = (plan.ceiling_burst - plan.burst) / (plan.ceiling_rate - plan.rate).max(1e-3);
-            let window = if plan.rate > 0.0 { plan.window(if c.thin { LONG } else { 1.0 }) } else { 0.0 };
+            let window = if plan.rate > 0.0 { plan.window() } else { 0.0 };
             let busy = c.out > 0 || c.in_flight.is_some() || c.hand < 0.0;
             busy || now - c.last <= (IDLE * window).max(fill)
         });
@@ -687,6 +679,7 @@
         self.learn(now);
         if now - self.m.warm_at >= 1.0 {
             self.forget_idle(now);
+            self.m.strain *= STRAIN.4;
             let warm = self.m.hosts.values().filter(|h| h.ready && self.warmth(now, h) >= 1.0).count();
             self.m.measure_warm(now, warm, WARM);
         }
@@ -906,22 +899,46 @@
 }
 
 impl Customer {
+    /// Whether the store, which lacks so much, holds a request's units; if so they are taken.
+    fn fits(&mut self, now: f64, units: f64, lacks: &mut f64, plan: &Plan) -> bool {
+        let beyond = lacks.max(0.0) + units.min(self.units) - plan.burst;
+        if beyond > 0.0 {
+            // Whoever comes meanwhile, what is missing takes this long to come in.
+            self.blocked_until = now + beyond / plan.rate;
+            self.hand += units;
+            return false;
+        }
+        *lacks = lacks.max(0.0) + units;
+        true
+    }
+
+    /// Chance of a request not asked for: as its plan's fare (`base`), or by even share of a silent counter.
+    fn unasked(&mut self, now: f64, units: f64, plan: &Plan, silent: bool, base: f64) -> f64 {
+        if !silent {
+            return base;
+        }
+        let (rate, most) = (plan.rate / self.spread, LONG * plan.burst / self.spread);
+        let share = (self.share + rate * (now - self.share_at)).min(most);
+        (self.share, self.share_at) = ((share - units).max(0.0), now);
+        share / units.max(1e-9)
+    }
+
     /// Moves to the window of `now`, carrying over what the last one left.
     fn roll(&mut self, now: f64, plan: &Plan) {
-        let window = (now / plan.window(1.0)).floor() as i64;
+        let window = (now / plan.window()).floor() as i64;
         if window == self.window || self.in_flight.is_some() {
             return;
         }
         if self.window == window - 1 && self.known {
-            let left = self.carry + plan.rate * plan.window(1.0) - self.total;
+            let left = self.carry + plan.rate * plan.window() - self.total;
             // Where others may have used the rest, the last total is read once.
             self.read_last = self.spread > 1.0 && (left < 1.3 * plan.burst || plan.ceiling_rate > 0.0);
-            self.allowed_last = self.carry + plan.rate * plan.window(1.0);
+            self.allowed_last = self.carry + plan.rate * plan.window();
             self.carry = left.clamp(0.0, plan.burst);
         } else {
             // Not met in the last window: others may have used it, and the one before, up.
             self.carry = if plan.ceiling_rate > 0.0 { 0.0 } else { plan.burst };
-            self.allowed_last = plan.rate * plan.window(1.0);
+            self.allowed_last = plan.rate * plan.window();
             self.read_last = plan.ceiling_rate > 0.0;
             self.hand = self.hand.min(0.0);
         }
@@ -930,7 +947,7 @@
         (self.known_at, self.blocked_until) = (now, 0.0);
     }
 
-    /// This gateway's even share of rate and burst, where the counter is no help.
+    /// This gateway's even share, where the counter is no help.
     fn take_share(&mut self, units: f64, plan: &Plan) -> bool {
         let ceiling = plan.ceiling_rate > 0.0;
         let fits = self.share >= units && !(ceiling && self.reserve < units);
@@ -943,7 +960,7 @@
 
     /// Units in the plan's store by the last total: they come in evenly, never more than the burst.
     fn avail(&self, now: f64, plan: &Plan) -> f64 {
-        let elapsed = now - self.window as f64 * plan.window(1.0);
+        let elapsed = now - self.window as f64 * plan.window();
         (self.carry + plan.rate * elapsed - self.total - self.unsure).min(plan.burst)
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -102,9 +102,9 @@
     pub(crate) plan: usize,
     pub(crate) spread: f64,
     pub(crate) thin: bool,
-    /// Thin: chance at which the counter's part is let in, and the requests that wait for it.
-    pub(crate) pass: f64,
+    /// What waits for the counter; thin: how many of these the call under way is for.
     pub(crate) held: Vec<(RequestId, f64)>,
+    pub(crate) covered: usize,
     pub(crate) asked_at: f64,
     /// Units granted and not spent; below 0: spent ahead, settled at the next refill.
     pub(crate) hand: f64,
@@ -138,7 +138,6 @@
             plan: request.plan,
             thin,
             spread,
-            pass: 1.0,
             known_at: f64::NEG_INFINITY,
             share_at: now,
             units: request.units,
@@ -176,7 +175,7 @@
     pub(crate) outage_at: f64,
     /// Part of the calls to the counter that is not made, for its sake.
     pub(crate) strain: f64,
-    /// By plan: how often customers are let in when first asked for.
+    /// By plan: how often the store had room.
     pub(crate) base: Vec<f64>,
     pub(crate) latency: Vec<f64>,
     pub(crate) warm_rate: f64,
@@ -287,6 +286,16 @@
     z ^ (z >> 31)
 }
 
+/// A thin customer's number on the counter lasts this long, s: it and the next fit into a life of 60 s.
+pub(crate) const STORE: f64 = 25.0;
+
+/// The number that holds a thin customer's store now, and since when it does, s. Numbers change for each customer
+/// at another time: gateways that all came for new ones at once would drown the counter.
+pub(crate) fn store_window(now: f64, id: CustomerId) -> (i64, f64) {
+    let at = now / STORE + lot(id, 0);
+    (at.floor() as i64, (at - at.floor()) * STORE)
+}
+
 /// A number from 0 to 1, drawn by these alone.
 pub(crate) fn lot(id: u64, turn: i64) -> f64 {
     (name_of(id, turn) >> 11) as f64 / (1u64 << 53) as f64
