Cold instances get their part of the work from a hundred ingresses

Ruled out: the ladder itself (its count and threshold fit what was out), errors (none after 14 s), connections (none refused).

Cause: cold_room and choose in src/balance.rs. A gateway among many owes a cold instance a tenth of an attempt in 1.5 s, so it draws a lot; but a lot only made the instance eligible beside dozens of idle warm ones, which all score alike, and so the attempt was nearly always sent elsewhere: the cold got a twentieth of a warm one's rate, not the third that they could do. All gateways also drew anew at the same moment of the clock.

Where a gateway's part is more than one attempt, as in small fleets, nothing changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -53,14 +53,15 @@
 const SILENT: u32 = 3;
 /// A call's total is awaited this long, s.
 const LATE: f64 = 5.0;
-/// Windows after its start in which a gateway reads new customers' last totals; idle ones to be as good as new.
+/// Windows after its start in which a gateway reads new customers' last totals; idle ones, to be like new.
 const YOUNG: f64 = 2.0;
 const IDLE: f64 = 3.0;
 /// Most customers remembered; those idle longest go first.
 const CUSTOMERS: usize = 20_000;
 
-/// Weight of the last second in the rate of attempts at a warm host, by which a cold one's part is set.
+/// Weight of the last second in the rate of attempts at a warm host; how much a cold one drawn is preferred.
 const WARM: f64 = 0.2;
+const DRAWN: f64 = 10.0;
 /// Health: failures in a row that eject; first and longest ejection, s; most hosts ejected, as a
 /// share, or left out for a class or plan: what most of them fail alike is load, and would only grow.
 const FAILS: u32 = 3;
@@ -70,14 +71,13 @@
 const STUCK: f64 = 2.5;
 /// Unless so many are: weight of one attempt in their share, and the share that means load.
 const SLOW: (f64, f64) = (0.08, 0.25);
-/// A host that failed a class, or turned a plan away, is left out for it this long, s: at most, as after an
-/// error, and at first where load may have been the cause.
+/// A host that failed a class or plan is left out for it this long, s: at most, and at first if by load.
 const AVOID: (f64, f64) = (20.0, 2.0);
 /// Latency memory: weight of a sample; most that one counts, in typical latencies; the first, in aims.
 const LEARN: f64 = 0.1;
 const WORST: f64 = 10.0;
 const FIRST_GUESS: f64 = 0.25;
-/// Slowness is forgotten with this time constant, s, so that a host is tried again.
+/// Slowness is forgotten with this time constant, s.
 const FORGET: f64 = 8.0;
 /// A load report is believed for this long, s.
 const FRESH: f64 = 0.5;
@@ -355,9 +355,9 @@
         }
     }
 
-    /// Where a gateway's part of a quota is a request or less, blocks and even shares would strand it: the store
-    /// itself is kept on the counter, and a call asks it for each request. What a strained counter is not asked
-    /// fares as what was asked, and weighs on it. Harm: a call a request, and one more for each refused.
+    /// Where a gateway's part of a quota is a request or less, blocks and shares would strand it: the store
+    /// itself is on the counter, and a call asks it for each request. What a strained counter is not asked
+    /// fares as what was asked, and weighs on it. Harm: a call a request, one more for each refused.
     fn draw_thin(&mut self, now: f64, request: &Request, plan: &Plan, actions: &mut Vec<Action>) -> Draw {
         let (odds, silent) = (1.0 - self.m.strain, self.m.call_fails >= SILENT);
         let [asks, luck] = [(); 2].map(|()| f64::from(self.rng.rand_float()));
@@ -562,7 +562,7 @@
         }
     }
 
-    /// Drops customers of whom nothing is known that a new one would not be given: store and reserve are full.
+    /// Drops customers of whom nothing is known that a new one would not be given: store, reserve are full.
     fn forget_idle(&mut self, now: f64) {
         let plans = &self.set.plans;
         self.m.customers.retain(|_, c| {
@@ -601,18 +601,17 @@
                     Some((Group::Cell, _, cell)) => h.cell == cell,
                     _ => true,
                 };
-                if !may(h) || !in_group || tried.contains(&id) || !self.cold_room(now, id, h) {
+                let room = self.cold_room(now, id, h);
+                if !may(h) || !in_group || tried.contains(&id) || room <= 0.0 {
                     continue;
                 }
                 // With everything out, something must still be tried.
-                if h.ejected.is_some() && (round == 0 || ejected < ready) {
+                let late = round == 0 && (!load && h.left_out(now, kind) || h.trial && h.out > 0);
+                if h.ejected.is_some() && (round == 0 || ejected < ready) || late {
                     continue;
                 }
-                if (!load && h.left_out(now, kind) || h.trial && h.out > 0) && round == 0 {
-                    continue;
-                }
-                let mut score =
-                    h.wait(now, self.warmth(now, h)) * (1.0 + 0.1 * f64::from(self.rng.rand_float()));
+                let luck = 1.0 + 0.1 * f64::from(self.rng.rand_float());
+                let mut score = h.wait(now, self.warmth(now, h)) * luck / room;
                 if h.zone != self.set.zone {
                     score *= 1.02;
                 }
@@ -637,16 +636,17 @@
         (cold + (1.0 - cold) * age.max(0.0) / self.set.warm_up).clamp(0.01, 1.0)
     }
 
-    /// A cold host falls over if all gateways together overload it. This gateway's share of what it bears
-    /// is judged by what this gateway sends to a warm one, which bears that and more. A share under one
-    /// attempt is one for some of the gateways, drawn anew in each span. Harm: a fleet that is cold for the
-    /// most part fills slowly.
-    fn cold_room(&self, now: f64, id: HostId, h: &Host) -> bool {
+    /// How much a host is to be preferred (0: no attempt). A cold one gets of what this gateway sends to a
+    /// warm one as much as it is warm, or all push it over. A share under one attempt is one for some of
+    /// them, drawn anew in each span; who drew it uses it, or the host idles while warm ones drown.
+    fn cold_room(&self, now: f64, id: HostId, h: &Host) -> f64 {
         let (warmth, span) = (self.warmth(now, h), self.set.tip_after.max(TICK));
         let sent = h.cold_sent.iter().filter(|s| **s > now - span).count() as f64;
-        let room = 0.5 * self.set.overload_factor * warmth * self.m.warm_rate * span;
-        let lot = lot(u64::from(id) << 32 | u64::from(self.set.position), (now / span).floor() as i64);
-        warmth >= 1.0 || sent + 1.0 <= room || sent <= 0.0 && lot < room
+        let part = warmth * self.m.warm_rate * span;
+        let room = 0.5 * self.set.overload_factor * part;
+        let place = u64::from(id) << 32 | u64::from(self.set.position);
+        let drawn = sent <= 0.0 && lot(place, (now / span + lot(place, -1)).floor() as i64) < room.min(part);
+        f64::from(u8::from(warmth >= 1.0 || sent + 1.0 <= room)).max(DRAWN * f64::from(u8::from(drawn)))
     }
 
     // ---- Health ----
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Tells all gateways of these hosts.
+    fn list(&mut self, entries: Vec<HostEntry>) {
+        for g in 0..self.beds.len() {
+            self.beds[g].tell(Event::Hosts { kind: ListKind::Delta, entries: entries.clone() });
+            self.carry_out(g);
+        }
+    }
+
     fn now(&self) -> f64 {
         self.beds[0].now
     }
@@ -228,6 +236,21 @@
     assert!((1..30).contains(&cold), "{cold} attempts");
 }
 
+#[test]
+fn cold_hosts_get_as_much_as_they_are_warm_from_a_hundred_gateways() {
+    // Six in ten are replaced; each gateway owes each of the new ones a small part of an attempt in a span.
+    let mut fleet = Fleet::new(100, Counter::Sound, |_| {});
+    fleet.list((0..60).map(host).collect());
+    fleet.offer(0, 5, 400.0, 6.0);
+    let from = fleet.now();
+    fleet.list((0..36).map(|id| HostEntry { started: from, ..host(id) }).collect());
+    fleet.offer(0, 5, 400.0, 6.0);
+    let count = |id: u32| fleet.to[&id].iter().filter(|t| **t > from).count() as f64;
+    let (cold, warm) = ((0..36).map(count).sum::<f64>() / 36.0, (36..60).map(count).sum::<f64>() / 24.0);
+    // Their capacity goes from a fifth to a half of a warm one's within these 6 s.
+    assert!((0.15..0.5).contains(&(cold / warm)), "{cold} attempts at a cold host, {warm} at a warm one");
+}
+
 #[test]
 fn a_ceiling_holds_over_gateways_and_an_unsound_counter() {
     for seed in 0..6 {
