Discovery is polled again after a time that grows with the fleet, spread by chance

Every poll logged over the fleet: about 150 calls a second at discovery, each answered 503, and 10 answers in 5 s.

Cause: BACK_OFF in src/discovery.rs, 20 to 500 ms whatever the number of ingresses. Discovery is one service for all; a hundred that ask twice a second keep it overbooked by their own refused calls, and nobody learns anything.

Change: the back-off is 10 ms for each ingress of the fleet at first and 50 at most, between 0.5 and 5 s, times 0.5 to 1.5 by a seeded chance. At the start only what came after the list in `known` is asked for, which is also less work.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -18,8 +18,19 @@
 const POLL_MS: u64 = 20_000;
 /// An answer later than the poll's own wait by this much will not come.
 const GRACE: Duration = Duration::from_secs(3);
-/// Back-off after a failed poll: first, most.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
+/// Back-off after a failed poll, ms for each ingress of the fleet: first, most. Discovery is one service for all
+/// of them: what is harmless from three, asked again as often by a hundred, keeps it overbooked for good.
+const BACK_OFF: (f64, f64) = (10.0, 50.0);
+/// The longest back-off lies within these whatever the fleet's size, ms: an ingress that has not asked for some
+/// seconds counts as told.
+const LONGEST: (f64, f64) = (500.0, 5000.0);
+
+/// How long to wait after so many failed polls in a row, ms; `luck` from 0 to 1 spreads the ingresses over time.
+fn back_off(fails: u32, gateways: u32, luck: f64) -> f64 {
+    let each = f64::from(gateways.max(1));
+    let most = (BACK_OFF.1 * each).clamp(LONGEST.0, LONGEST.1);
+    (BACK_OFF.0 * each * f64::from(1u32 << fails.min(16))).min(most) * (0.5 + luck)
+}
 
 /// One connection to the agent.
 struct Poll {
@@ -60,16 +71,19 @@
 }
 
 /// Follows the agent for as long as the program runs.
-pub async fn follow(hub: Rc<Hub>, agent: SocketAddr) {
-    let (mut version, mut back_off, mut poll): (Option<u64>, Duration, Option<Poll>) =
-        (None, BACK_OFF.0, None);
+///
+/// `version` is that of the list held, if there is one: only what came after it is asked for. The whole list, by
+/// all ingresses of a fleet at their start, is what an overbooked discovery can bear least.
+pub async fn follow(hub: Rc<Hub>, agent: SocketAddr, mut version: Option<u64>, seed: u64) {
+    let gateways = hub.platform().module.gateways;
+    let (mut fails, mut poll, mut dice) = (0, None, oorandom::Rand32::new(seed));
     let mut complained = false;
     loop {
         let result = step(&mut poll, agent, version).await;
         match result.and_then(|answer| take(&hub, &answer)) {
             Ok(news) => {
                 version = Some(news);
-                back_off = BACK_OFF.0;
+                fails = 0;
                 complained = false;
             }
             Err(problem) => {
@@ -78,8 +92,9 @@
                 }
                 complained = true;
                 poll = None;
-                tokio::time::sleep(back_off).await;
-                back_off = (back_off * 2).min(BACK_OFF.1);
+                let wait = back_off(fails, gateways, f64::from(dice.rand_float()));
+                tokio::time::sleep(Duration::from_secs_f64(wait / 1e3)).await;
+                fails += 1;
             }
         }
     }
@@ -128,3 +143,47 @@
     }
     Ok(version)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Ingresses that all start at once, and a discovery that bears so many calls a second; the time by which
+    /// nine in ten have their list, s.
+    fn told(gateways: u32, calls_a_second: usize) -> f64 {
+        let mut dice = oorandom::Rand32::new(7);
+        let mut due: Vec<(f64, u32)> = vec![(0.0, 0); gateways as usize];
+        let mut calls = std::collections::VecDeque::new();
+        for ms in 0..60_000 {
+            let now = f64::from(ms);
+            calls.retain(|at| now - at < 1000.0);
+            for (at, fails) in &mut due {
+                if *at > now {
+                    continue;
+                }
+                // What it turns away is work for it too.
+                calls.push_back(now);
+                if calls.len() <= calls_a_second {
+                    *at = f64::INFINITY;
+                } else {
+                    *at = now + back_off(*fails, gateways, f64::from(dice.rand_float()));
+                    *fails += 1;
+                }
+            }
+            if due.iter().filter(|(at, _)| at.is_infinite()).count() * 10 >= due.len() * 9 {
+                return now / 1e3;
+            }
+        }
+        f64::INFINITY
+    }
+
+    #[test]
+    fn a_fleet_of_any_size_does_not_keep_discovery_overbooked() {
+        for gateways in [2, 10, 30, 100, 200] {
+            let by = told(gateways, 50);
+            assert!(by < 10.0, "{gateways} ingresses have their list after {by} s");
+        }
+        assert!(back_off(0, 2, 1.0) < 50.0, "a small fleet asks again at once");
+        assert!(back_off(u32::MAX, 1_000_000, 1.0) <= 1.5 * LONGEST.1);
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -66,6 +66,8 @@
     hub: Rc<Hub>,
     upstream: Rc<Upstream>,
     counter: Counter,
+    /// Spreads over time what all ingresses would do at once.
+    seed: u64,
     /// Who tells the name table, and the task that follows it.
     agent: RefCell<Option<(SocketAddr, AbortHandle)>>,
 }
@@ -89,7 +91,7 @@
         let instances = config.sockets.saturating_sub(OTHERS) * 2 / 5;
         let upstream = Upstream::new(hub.clone(), instances);
         let counter = Counter::new(config.counter, hub.platform().count_wait_ms);
-        let node = Rc::new(Node { hub, upstream, counter, agent: RefCell::default() });
+        let node = Rc::new(Node { hub, upstream, counter, seed: config.seed, agent: RefCell::default() });
         let network: Rc<dyn Network> = node.clone();
         node.hub.carried_by(&network);
         node
@@ -129,11 +131,13 @@
     }
 
     /// Follows the name table at this agent from now on; the list held stays until the agent tells another.
-    fn follow(self: &Rc<Self>, agent: Option<SocketAddr>) {
+    fn follow(self: &Rc<Self>, agent: Option<SocketAddr>, version: Option<u64>) {
         if self.agent.borrow().as_ref().map(|(addr, _)| *addr) == agent {
             return;
         }
-        let task = agent.map(|addr| (addr, spawn_local(follow(self.hub.clone(), addr)).abort_handle()));
+        let task = agent.map(|addr| {
+            (addr, spawn_local(follow(self.hub.clone(), addr, version, self.seed)).abort_handle())
+        });
         if let Some((_, old)) = self.agent.replace(task) {
             old.abort();
         }
@@ -148,7 +152,7 @@
                 return tracing::error!(error = %e, "EDGE_CONFIG makes no sense; the old configuration stays")
             }
         };
-        self.follow(config.discovery);
+        self.follow(config.discovery, None);
         self.counter.move_to(&self.hub, config.counter);
         let fixed = held.fixed_but_changed(&config);
         if !fixed.is_empty() {
@@ -269,8 +273,10 @@
     let plugin = operator.plugin.as_ref().map(|p| Plugin::load(p, &operator.folder)).transpose()?;
     let node = Node::new(&config, Hub::new(&config, plugin, Clock::system())?);
     let hub = node.hub.clone();
+    let mut version = None;
     if !config.known.is_null() {
         let news = hub.table().take(&config.known)?;
+        version = Some(news.version).filter(|_| !news.entries.is_empty());
         hub.names(ListKind::Cached, news.entries);
     }
     let rules = Source::of(&operator);
@@ -302,7 +308,7 @@
         None => None,
     };
     spawn_local(node.clone().keep_time());
-    node.follow(config.discovery);
+    node.follow(config.discovery, version);
     let streams = operator.http2.as_ref().map_or(0, |http2| http2.connections);
     let clients = (config.sockets.saturating_sub(OTHERS) * 3 / 5).saturating_sub(streams).max(16);
     let front = RespFront::new(hub.clone(), clients);
