True units of answers reach the quotas; keyed repeats and second copies by the settings

Cause: facade.rs handed the module settled: None, so quotas counted guesses; upstream read no figures on use. And core.rs let no second attempt out whatever the settings, and no repeat of keyed work, which the module decides by hall and window. Now: cost is read on both wires (bounded by the settings' largest request), the core holds group and window itself, a keyed command without its one key is no command.

--- a/src/core.rs
+++ b/src/core.rs
@@ -3,7 +3,7 @@
 //! write a socket, know RESP or HTTP, or ask the system for the time; and it decides nothing about whom to
 //! serve: that is the module's, behind the facade.
 
-use crate::api::{HostEntry, HostState, ListKind, Outcome, ALL_HOSTS};
+use crate::api::{Class, Effect as Repeat, Group, HostEntry, HostState, ListKind, Outcome, ALL_HOSTS};
 use crate::facade::{Add, Ask, CommandId, Ended, Errand, Facade, InstanceId, Report, Verdict};
 use crate::flow::Outlet;
 use crate::settings::Platform;
@@ -11,6 +11,9 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 
+/// Where an instance stands: its zone and its cell.
+type Place = (u32, u32);
+
 /// What a service client asks for, free of any wire.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Command {
@@ -47,6 +50,8 @@
 /// Longest id and longest list of names and values.
 const MOST_ID: usize = 128;
 const MOST_TERMS: usize = 1024;
+/// Longest key of a keyed command.
+const MOST_KEY: usize = 64;
 /// Customers are numbers below this.
 const CUSTOMERS: u64 = 1 << 33;
 /// Longest wait that a client may name.
@@ -54,7 +59,7 @@
 
 /// A number as the platform writes it: digits, at most one point. What else Rust reads as a number (`inf`,
 /// `1e9`, `+2`) is none to an instance.
-fn decimal(text: &str) -> Option<f64> {
+pub fn decimal(text: &str) -> Option<f64> {
     let plain = text.len() <= 32 && text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     text.parse().ok().filter(|_| plain && text.starts_with(|c: char| c.is_ascii_digit()))
 }
@@ -124,8 +129,13 @@
             pools: ALL_HOSTS,
         };
         let patience_ms = number("d", MOST_PATIENCE_MS)?;
+        // Guards the rule on double effects: what cannot be known again by its key must not be repeated.
+        let keyed = settings.classes[ask.class].effect == Repeat::Keyed;
+        if keyed && !find("k").is_some_and(|key| (1..=MOST_KEY).contains(&key.len())) {
+            return Err(BadCommand::Term("k"));
+        }
         // Guards the quota: an instance must not read other units or another class than this ingress did.
-        for name in ["c", "t", "d", "r", "units", "spread", "first"] {
+        for name in ["c", "t", "d", "r", "k", "units", "spread", "first"] {
             if pairs(&terms).filter(|(n, _)| *n == name).count() > 1 {
                 return Err(BadCommand::Term("terms"));
             }
@@ -142,7 +152,7 @@
     /// A body that its class does not have.
     pub fn take_body(&mut self, platform: &Platform, body: Option<Vec<u8>>) -> Result<(), BadCommand> {
         // Guards the instances' grammar: a query never has a body, whatever else never lacks one.
-        let safe = platform.module.classes[self.ask.class].effect == crate::api::Effect::Safe;
+        let safe = platform.module.classes[self.ask.class].effect == Repeat::Safe;
         self.body = match (safe, body) {
             (true, Some(body)) if !body.is_empty() => return Err(BadCommand::Term("body")),
             (true, _) => None,
@@ -224,12 +234,14 @@
     pub value: Option<Value>,
     /// The instance's load report, if one came along.
     pub load: Vec<f64>,
+    /// The true units, where they are settled by the answer and it named them.
+    pub cost: Option<f64>,
 }
 
 impl End {
     /// An end that brought nothing.
     pub fn without(outcome: Outcome) -> End {
-        End { outcome, value: None, load: Vec::new() }
+        End { outcome, value: None, load: Vec::new(), cost: None }
     }
 }
 
@@ -237,6 +249,9 @@
 struct Attempt {
     out: bool,
     may_have_run: bool,
+    sent: f64,
+    /// Where its instance stood when it was sent: zone and cell.
+    place: Place,
 }
 
 struct Held {
@@ -247,10 +262,29 @@
 }
 
 impl Held {
-    /// Whether sending it once more, or telling the client to, can do no harm.
+    /// Whether telling the client to come again can do no harm.
     fn harmless(&self, safe: bool) -> bool {
         safe || self.attempts.iter().all(|a| !a.may_have_run)
     }
+
+    /// Whether sending it once more, to an instance that stands there, can do no harm: what may have run, or may
+    /// yet, is repeated only where the class is safe, or where every instance of the group knows its key.
+    fn repeatable(&self, now: f64, class: &Class, place: Place, dial_ms: f64) -> bool {
+        let ran = || self.attempts.iter().filter(|a| a.may_have_run);
+        match class.effect {
+            Repeat::Safe => true,
+            Repeat::Unsafe => ran().next().is_none(),
+            Repeat::Keyed => ran().all(|a| {
+                let known = match class.group {
+                    Group::All => true,
+                    Group::Zone => a.place.0 == place.0,
+                    Group::Cell => a.place == place,
+                };
+                // It may be written as late as its connection comes up.
+                known && now - a.sent + dial_ms < 1e3 * class.window
+            }),
+        }
+    }
 }
 
 /// Figures for the log.
@@ -278,7 +312,7 @@
     facade: Facade,
     held: HashMap<CommandId, Held>,
     expiries: BinaryHeap<Reverse<(u64, CommandId, u32)>>,
-    ready: BTreeMap<InstanceId, bool>,
+    ready: BTreeMap<InstanceId, (bool, Place)>,
     effects: VecDeque<Effect>,
     next: CommandId,
     bytes: usize,
@@ -385,14 +419,15 @@
     /// The name table has news.
     pub fn names(&mut self, now: f64, kind: ListKind, entries: Vec<HostEntry>) {
         if kind != ListKind::Delta {
-            self.ready.values_mut().for_each(|ready| *ready = false);
+            self.ready.values_mut().for_each(|(ready, _)| *ready = false);
         }
         for entry in &entries {
-            self.ready.insert(entry.host, entry.state == HostState::Ready);
+            let place = (entry.zone, entry.cell);
+            self.ready.insert(entry.host, (entry.state == HostState::Ready, place));
         }
-        let left = self.ready.iter().filter(|(_, ready)| !**ready).map(|(id, _)| *id);
+        let left = self.ready.iter().filter(|(_, (ready, _))| !ready).map(|(id, _)| *id);
         self.effects.extend(left.map(Effect::Release));
-        self.ready.retain(|_, ready| *ready);
+        self.ready.retain(|_, (ready, _)| *ready);
         self.facade.report(now, Report::Names(kind, entries));
         self.settle(now);
     }
@@ -487,7 +522,7 @@
             Verdict::Nack { after_ms } => {
                 let safe = |h: &Held| {
                     let class = &self.platform.module.classes[h.command.ask.class];
-                    h.harmless(class.effect == crate::api::Effect::Safe)
+                    h.harmless(class.effect == Repeat::Safe)
                 };
                 // Guards the rule against double effects: whatever was decided, a command that may have run
                 // is not told to come again.
@@ -508,19 +543,20 @@
         let attempt = held.attempts.len() as u32;
         let class = &self.platform.module.classes[held.command.ask.class];
         let settings = &self.platform.module;
-        // Guards three rules whatever the module asks: never two attempts out, no second run of work with
-        // an effect, nothing to an instance that is leaving.
+        // Guards three rules whatever the module asks: two attempts out only where the settings allow it, no second
+        // run of work with an effect, nothing to an instance that is leaving.
+        let place = self.ready.get(&instance).map(|(_, place)| *place);
         let allowed = !held.answered
-            && held.attempts.iter().all(|a| !a.out)
-            && held.harmless(class.effect == crate::api::Effect::Safe)
+            && (settings.second_copies || held.attempts.iter().all(|a| !a.out))
+            && place.is_some_and(|place| held.repeatable(now, class, place, self.platform.dial_ms))
             && attempt < settings.max_attempts
-            && now < held.give_up
-            && self.ready.contains_key(&instance);
-        held.attempts.push(Attempt { out: allowed, may_have_run: allowed });
+            && now < held.give_up;
+        let place = place.unwrap_or_default();
+        held.attempts.push(Attempt { out: allowed, may_have_run: allowed, sent: now, place });
         if !allowed {
             let finished = held.answered;
             let outcome = Outcome::Moot;
-            let end = Ended { command: id, attempt, outcome, finished, load: Vec::new() };
+            let end = Ended { command: id, attempt, outcome, finished, load: Vec::new(), cost: None };
             return self.facade.report(now, Report::Ended(end));
         }
         let until = if patience_ms > 0.0 { held.give_up.min(now + patience_ms) } else { held.give_up };
@@ -536,7 +572,7 @@
     }
 
     fn end(&mut self, now: f64, id: CommandId, attempt: u32, end: End) {
-        let End { outcome, value, load } = end;
+        let End { outcome, value, load, cost } = end;
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(a) = held.attempts.get_mut(attempt as usize).filter(|a| a.out) else { return };
         a.out = false;
@@ -545,7 +581,7 @@
             self.finish(id, Answer::Served(value));
         }
         let finished = self.held.get(&id).is_none_or(|h| h.answered);
-        let end = Ended { command: id, attempt, outcome, finished, load };
+        let end = Ended { command: id, attempt, outcome, finished, load, cost };
         self.facade.report(now, Report::Ended(end));
         self.forget(id);
     }
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -94,6 +94,8 @@
     pub finished: bool,
     /// The instance's load report, if one came.
     pub load: Vec<f64>,
+    /// The true units, if they came.
+    pub cost: Option<f64>,
 }
 
 /// News for the module.
@@ -171,7 +173,7 @@
                 attempt: end.attempt,
                 outcome: end.outcome,
                 finished: end.finished,
-                settled: None,
+                settled: end.cost,
                 report: end.load,
             }),
             Report::ClientGone(command) => Event::ClientGone { id: command },
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -12,6 +12,7 @@
 use crate::ring::Ring;
 use crate::settings::Platform;
 use crate::wire::{
+    self,
     instance_reply, large_reply, large_rest, push_command, push_words, Large, Parsed, Reply, MOST_PASSED,
     MOST_VALUE,
 };
@@ -527,8 +528,10 @@
     let load = report.map_or(Vec::new(), |report| load(platform, report.as_bytes()));
     let outcome = wire_http2::outcome(head.status, &head.headers);
     if outcome != Outcome::Ok {
-        return End { outcome, value: None, load };
+        return End { load, ..End::without(outcome) };
     }
+    let figures = head.headers.get(wire_http2::USE);
+    let cost = figures.and_then(|figures| wire::cost(platform, figures.as_bytes()));
     let length = head.headers.get(http::header::CONTENT_LENGTH);
     let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
     if let Some(size) = length.filter(|size| (MOST_VALUE + 1..=MOST_PASSED).contains(size)) {
@@ -538,10 +541,10 @@
         };
         let (intake, outlet) = up.hub.ways().open(size);
         spawn_local(pass_on_http2(stream, first, intake));
-        return End { outcome, value: Some(Value::Coming(Rc::new(outlet))), load };
+        return End { outcome, value: Some(Value::Coming(Rc::new(outlet))), load, cost };
     }
     match wire_http2::collect(&mut stream, STALLED * up.dial).await {
-        Some(value) => End { outcome, value: Some(Value::Whole(value)), load },
+        Some(value) => End { outcome, value: Some(Value::Whole(value)), load, cost },
         // It has begun to answer, so it ran, whatever ended the stream or keeps it from its end.
         None => End::without(Outcome::Reset),
     }
@@ -602,7 +605,7 @@
             }
             spawn_local(pass_on(up.clone(), attempt.instance, link, large, intake));
             let value = Some(Value::Coming(Rc::new(outlet)));
-            End { outcome: Outcome::Ok, value, load: Vec::new() }
+            End { value, ..End::without(Outcome::Ok) }
         }
         Some(Came::Reply(end)) => {
             // Anything behind the reply is nobody's: such a connection is not reused.
@@ -676,7 +679,7 @@
         Reply::Array(items) => match items.as_slice() {
             [Reply::Bulk(Some(value)), rest @ ..] => {
                 let (value, load) = (Some(Value::Whole(value.to_vec())), report(platform, rest));
-                Some(End { outcome: Outcome::Ok, value, load })
+                Some(End { outcome: Outcome::Ok, value, load, cost: settled(platform, rest) })
             }
             _ => None,
         },
@@ -690,12 +693,21 @@
             };
             let last = words.next_back().filter(|w| w.contains(&b'='));
             let load = last.map_or(Vec::new(), |report| load(platform, report));
-            Some(End { outcome, value: None, load })
+            // Units are settled by good answers alone.
+            Some(End { outcome, value: None, load, cost: None })
         }
         _ => None,
     }
 }
 
+/// The true units among what comes behind a value.
+fn settled(platform: &Platform, rest: &[Reply]) -> Option<f64> {
+    match rest.first() {
+        Some(Reply::Bulk(Some(figures))) => wire::cost(platform, figures),
+        _ => None,
+    }
+}
+
 /// The load report among what comes behind a value; empty where there is none.
 fn report(platform: &Platform, rest: &[Reply]) -> Vec<f64> {
     match rest.get(1) {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,7 +3,7 @@
 //! depth, so that no peer can make a connection hold more than its ring's cap. It must never touch a socket
 //! or a clock, nor panic on any input.
 
-use crate::core::{BadCommand, Command};
+use crate::core::{decimal, pairs, BadCommand, Command};
 use crate::settings::Platform;
 use std::io::Write;
 use winnow::ascii::crlf;
@@ -248,6 +248,16 @@
     push_words(out, count, words.into_iter().chain(body));
 }
 
+/// The true units of a command among the figures on use (`used=37,cost=4`), where units are settled by answers.
+/// Guards quotas: more units than the settings give one command are noise.
+pub fn cost(platform: &Platform, figures: &[u8]) -> Option<f64> {
+    let settings = &platform.module;
+    let text = std::str::from_utf8(figures).ok().filter(|_| settings.settled_later)?;
+    let mut costs = pairs(text).filter(|(name, _)| *name == "cost").map(|(_, cost)| decimal(cost));
+    let cost = costs.next().flatten().filter(|cost| *cost <= settings.most_units);
+    cost.filter(|_| costs.next().is_none())
+}
+
 /// An HTTP/1.1 answer.
 #[derive(Debug, PartialEq)]
 pub struct HttpAnswer {
--- a/src/wire_http2.rs
+++ b/src/wire_http2.rs
@@ -31,7 +31,7 @@
 /// The other names and values: `units=2,spread=3,first=1`.
 pub const TERMS: &str = "api-terms";
 /// Terms of the platform's wire that have a header of their own.
-const OWN: [&str; 4] = ["c", "t", "d", "r"];
+const OWN: [&str; 5] = ["c", "t", "d", "r", "k"];
 /// Beside `retry-after`, which counts whole seconds: the advice in milliseconds.
 pub const RETRY_MS: &str = "retry-after-ms";
 /// To an instance: what the operator's hook noted, by name.
@@ -40,6 +40,10 @@
 pub const DECLINED: &str = "srv-declined";
 /// From an instance: its load report.
 pub const LOAD: &str = "srv-load";
+/// From an instance: the figures on use, as on the platform's wire: `used=37,cost=4`.
+pub const USE: &str = "srv-use";
+/// The key by which instances know a repeat, for classes that carry one.
+pub const KEY: &str = "idempotency-key";
 
 /// A request that is no command; the text names the header.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -73,6 +77,15 @@
     for (name, value) in pairs(text(headers, TERMS)?).filter(|(name, _)| !OWN.contains(name)) {
         terms.extend([",", name, "=", value]);
     }
+    // The platform's form is taken too; a key in both is one too many, and judged as that.
+    let listed = pairs(text(headers, TERMS)?).filter(|(name, _)| *name == "k").map(|(_, key)| key);
+    let own = headers.get_all(KEY).iter().map(|key| key.to_str().unwrap_or(""));
+    for key in own.chain(listed) {
+        if key.contains(',') {
+            return Err(BadRequest(format!("{KEY} holds a comma")));
+        }
+        terms.extend([",k=", key]);
+    }
     if headers.get(RETRY).is_some_and(|r| r == "1") {
         terms.push_str(",r=1");
     }
@@ -100,6 +113,9 @@
         .header(PLAN, &platform.plans[command.ask.plan])
         .header(DEADLINE, wait_ms.max(1.0) as u64)
         .header(TERMS, terms);
+    if let Some((_, key)) = pairs(&command.terms).find(|(name, _)| *name == "k") {
+        request = request.header(KEY, key);
+    }
     if command.ask.repeat {
         request = request.header(RETRY, "1");
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -62,7 +62,7 @@
     let mut bed = Bed::new(1 << 20);
     let id = bed.ask("fetch-episode", 0);
     let start = bed.started();
-    let end = End { outcome: Outcome::Ok, value: Some(Value::Whole(b"news".to_vec())), load: vec![] };
+    let end = End { value: Some(Value::Whole(b"news".to_vec())), ..End::without(Outcome::Ok) };
     bed.core.attempt_ended(NOW + 5.0, id, 0, end.clone());
     assert_eq!(bed.effects(), vec![Effect::Reply(id, Answer::Served(Value::Whole(b"news".to_vec())))]);
     bed.core.attempt_ended(NOW + 6.0, id, 0, end);
@@ -108,7 +108,7 @@
     let mut bed = Bed::new(1 << 20);
     bed.ask("fetch-episode", 0);
     let start = bed.started();
-    let end = End { outcome: Outcome::Ok, value: Some(Value::Whole(vec![])), load: vec![] };
+    let end = End { value: Some(Value::Whole(vec![])), ..End::without(Outcome::Ok) };
     bed.core.attempt_ended(NOW + 5.0, start.id, 0, end);
     let mut now = NOW + 5.0;
     let mut wakes = 0;
