--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,7 +18,7 @@
 const LEVEL2: f64 = 45.0 / 40.0;
 /// The threshold, in aims of what departs a second, and the memory of departures, s: at least the first,
 /// and as long as it takes to see `PACE_OF` of them up to the second.
-const AIMS: f64 = 0.24;
+const AIMS: f64 = 0.12;
 const PACE: (f64, f64) = (1.5, 6.0);
 const PACE_OF: f64 = 24.0;
 /// Below this threshold the ladder reads the count's mean: counts of 0 to 3 say little one by one.
@@ -26,7 +26,7 @@
 /// A count this many roots above the threshold is no chance.
 const PLAIN: f64 = 3.0;
 /// Attempts a host that all gateways together may always have out.
-const LEAST: f64 = 2.0;
+const LEAST: f64 = 3.0;
 
 /// Window lengths, s: burst over rate within these.
 const WINDOW: (f64, f64) = (1.0, 25.0);
@@ -239,7 +239,8 @@
     /// bound lags a sudden load, and where service alone takes that long more is refused than need be.
     fn learn(&mut self, now: f64) {
         self.m.pass_time(now, PACE_OF, PACE);
-        let hosts = self.m.hosts.values().filter(|h| h.ready && h.ejected.is_none()).count() as f64;
+        let able = self.m.hosts.values().filter(|h| h.ready && h.ejected.is_none());
+        let hosts: f64 = able.map(|h| self.warmth(now, h)).sum();
         let least = LEAST * hosts / f64::from(self.set.gateways);
         self.m.threshold = (AIMS * self.m.aims).max(least);
     }
@@ -610,7 +611,7 @@
                     continue;
                 }
                 let luck = 1.0 + 0.1 * f64::from(self.rng.rand_float());
-                let mut score = h.wait(now, self.warmth(now, h)) * luck / room;
+                let mut score = h.wait(now, self.warmth(now, h), self.set.gateways) * luck / room;
                 if h.zone != self.set.zone {
                     score *= 1.02;
                 }
@@ -644,7 +645,7 @@
         let part = warmth * self.m.warm_rate * span;
         let room = 0.5 * self.set.overload_factor * part;
         let place = u64::from(id) << 32 | u64::from(self.set.position);
-        let drawn = sent <= 0.0 && lot(place, (now / span + lot(place, -1)).floor() as i64) < room.min(part);
+        let drawn = warmth < 1.0 && sent <= 0.0 && lot(place, (now / span + lot(place, -1)).floor() as i64) < room.min(part);
         f64::from(u8::from(warmth >= 1.0 || sent + 1.0 <= room)).max(DRAWN * f64::from(u8::from(drawn)))
     }
 
@@ -757,7 +758,7 @@
             Outcome::Ok => {
                 let sample = (took / typical.max(1e-6)).min(WORST);
                 h.ratio = 1.0 + (h.ratio - 1.0) * (-(now - h.ratio_at) / FORGET).exp();
-                h.ratio += 0.2 * (sample - h.ratio);
+                h.ratio += 0.08 * (sample.min(4.0) - h.ratio);
                 h.ratio_at = now;
                 (h.fails, h.ejected, h.last_answer) = (0, None, now);
                 h.avoid.retain(|m| m.what != Err(class) && m.what != Ok(plan));
@@ -992,12 +993,12 @@
 
     /// Expected wait for one more attempt, in typical latencies of the fleet. Work of its own does not count
     /// against a cold host, or gateways with nothing out would leave it cold; the budget bounds what it gets.
-    fn wait(&self, now: f64, warmth: f64) -> f64 {
+    fn wait(&self, now: f64, warmth: f64, all: u32) -> f64 {
         let queue = match self.waiting {
             Some((at, queue)) if now - at < FRESH => queue * (1.0 - (now - at) / FRESH),
             _ => 0.0,
         };
         let ratio = 1.0 + (self.ratio - 1.0) * (-(now - self.ratio_at) / FORGET).exp();
-        ((f64::from(self.out) + queue) / warmth + 1.0) * ratio.max(0.3) / self.size
+        ((f64::from(self.out * all) + queue) / warmth + 1.0) * ratio.max(0.3) / self.size
     }
 }
