--- a/src/core.rs
+++ b/src/core.rs
@@ -392,6 +392,28 @@
         self.settle(now);
     }
 
+    /// The process ends before the deadlines of what it holds: each command gets its final answer now, a refusal
+    /// (come back after so long) where trying again is harmless.
+    pub fn give_up(&mut self, now: f64, after_ms: f64) {
+        let mut ids: Vec<CommandId> =
+            self.held.iter().filter(|(_, h)| !h.answered).map(|(id, _)| *id).collect();
+        ids.sort_unstable();
+        for id in ids {
+            let Some(held) = self.held.get(&id) else { continue };
+            let effect = self.platform.module.classes[held.command.ask.class].effect;
+            let harmless = held.harmless(effect == Repeat::Safe);
+            let out: Vec<u32> = (0..).zip(&held.attempts).filter(|(_, a)| a.out).map(|(i, _)| i).collect();
+            // For the module it is as if its client had gone: nothing is sent again.
+            self.facade.report(now, Report::ClientGone(id));
+            let answer = if harmless { Answer::Nack { after_ms } } else { Answer::Failed { late: true } };
+            self.finish(id, answer);
+            for attempt in out {
+                self.abandon(now, id, attempt, Outcome::Cancelled);
+            }
+        }
+        self.settle(now);
+    }
+
     /// An attempt has ended on its own.
     pub fn attempt_ended(&mut self, now: f64, id: CommandId, attempt: u32, end: End) {
         self.end(now, id, attempt, end);
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -428,6 +428,11 @@
         self.with_core(|core, now| core.names(now, kind, entries));
     }
 
+    /// The process ends: everything that is held gets its final answer now.
+    pub fn give_up(&self) {
+        self.with_core(|core, now| core.give_up(now, AWAY_MS));
+    }
+
     /// A service client is gone.
     pub fn client_gone(&self, id: CommandId) {
         self.clients.borrow_mut().remove(&id);
--- a/src/node.rs
+++ b/src/node.rs
@@ -33,6 +33,8 @@
 const ACCEPT_MS: f64 = 500.0;
 /// The longest deadline counts as this at most when the program is stopped, ms; and what comes on top.
 const STOP_MS: (f64, f64) = (3000.0, 650.0);
+/// So long before its end it gives up what clients would wait longer for, ms: answers have to go out.
+const GIVE_UP_MS: f64 = 150.0;
 /// Descriptors that are neither clients' nor instances'.
 const OTHERS: usize = 24 + LANES;
 /// What staff's calls take beside.
@@ -457,7 +459,13 @@
     }
     let longest = node.hub.platform().module.classes.iter().map(|c| c.deadline * 1e3).fold(0.0, f64::max);
     let last = begun + longest.min(STOP_MS.0) + STOP_MS.1;
+    let mut given_up = false;
     while connections() > 0 && node.hub.now() < last {
+        if !given_up && node.hub.now() >= last - GIVE_UP_MS {
+            given_up = true;
+            tracing::info!(owed = node.hub.figures().1, "giving up what is owed");
+            node.hub.give_up();
+        }
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     node.log_figures();
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -85,6 +85,60 @@
     }
 }
 
+#[test]
+fn keyed_work_stays_in_its_zone_and_window_and_copies_go_out_where_they_may() {
+    let text = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#)
+        .replace(r#""counter": true"#, r#""counter": false"#)
+        .replace(
+            r#""effect": "side_effect",
+   "group": "all""#,
+            r#""effect": "token","group": "zone""#,
+        )
+        .replace(r#""parallel_tries": false"#, r#""parallel_tries": true"#);
+    let platform = Rc::new(Config::parse(&text).unwrap().platform);
+    let mut set = platform.module.clone();
+    // A module that would send it anywhere: the core must hold it by itself.
+    set.classes[1].group = driftgap::Group::All;
+    for (zones, again) in [([0, 0], true), ([0, 1], false)] {
+        let facade = Facade::new(set.clone(), 7).unwrap();
+        let mut core = Core::new(platform.clone(), facade, 1 << 20);
+        let hosts = (0..2).map(|h| HostEntry { zone: zones[h as usize], ..entry(h, HostState::Ready) });
+        core.names(NOW, ListKind::Full, hosts.collect());
+        let mut bed = Bed { core, platform: platform.clone() };
+        let terms = "c=book-rebroadcast,t=national,d=3000,units=2,spread=1,first=0,k=5c0f".to_string();
+        let command = Command::new(&bed.platform, "0000000000000007", "k", terms, Some(vec![1])).unwrap();
+        let id = bed.core.arrive(NOW, command);
+        let start = bed.started();
+        // Late, but not over: a second copy, or none.
+        let mut starts = 0;
+        for turn in 1..40 {
+            bed.core.tick(NOW + 25.0 * f64::from(turn));
+            starts += bed.effects().iter().filter(|e| matches!(e, Effect::Start(_))).count();
+        }
+        assert_eq!(starts, usize::from(again), "zones {zones:?}");
+        let effects = bed.end(1000.0, &start, Outcome::Reset);
+        assert!(!effects.iter().any(|e| matches!(e, Effect::Reply(_, Answer::Nack { .. }))), "{effects:?}");
+        let ok = End { value: Some(Value::Whole(vec![])), ..End::without(Outcome::Ok) };
+        bed.core.attempt_ended(NOW + 1001.0, id, 1, ok);
+        let answers = bed.effects().iter().filter(|e| matches!(e, Effect::Reply(..))).count();
+        assert_eq!((answers, bed.core.owed()), (usize::from(again), 0));
+    }
+}
+
+#[test]
+fn a_keyed_command_has_one_key() {
+    let text = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#)
+        .replace(r#""effect": "side_effect""#, r#""effect": "token""#);
+    let platform = Config::parse(&text).unwrap().platform;
+    for (key, good) in
+        [("", false), (",k=", false), (",k=5c0f", true), (",k=1,k=1", false), (",k=1,k=2", false)]
+    {
+        let terms = format!("c=book-rebroadcast,t=national,d=900,units=2,spread=1,first=0{key}");
+        let command = Command::new(&platform, "0000000000000007", "k", terms, Some(vec![1]));
+        assert_eq!(command.is_ok(), good, "{key}");
+    }
+}
+
 #[test]
 fn at_the_deadline_the_attempt_is_abandoned_and_the_client_told_once() {
     let mut bed = Bed::new(1 << 20);
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -2,14 +2,15 @@
 //! loopback, and the scenario language that drives them. One line, one step; `C` is a client's connection,
 //! `I` an instance, `K` a command's id:
 //!
-//!     send C K CLASS PLAN PARTNER [d=MS] [units=N] [body=BYTES]   a client sends a command
+//!     send C K CLASS PLAN PARTNER [d=MS] [units=N] [body=BYTES] [k=KEY]   a client sends a command
 //!     raw C TEXT                           a client writes bytes as they stand (\r\n are escapes)
+//!     with PATH=VALUE ...                  (first line) the settings hold these: `request_classes.1.effect="token"`
 //!     small                                (first line) the program's memory is 10 MB
 //!     part C N                             a client writes all but the end of a command with a body of N bytes
 //!     long C N                             a client writes a command of N bytes
 //!     expect C K WHAT                      its answer: served V, busy, failed, closed; or a prefix of a raw line
 //!     expect I K                           an attempt arrives whole (`*`: at any instance)
-//!     answer I K HOW                       value V, last V (and closes, RESP), busy, error, half (breaks halfway), reset, refuse, goaway, garbage,
+//!     answer I K HOW                       value V, cost N V (with its true units), last V (and closes, RESP), busy, error, half (breaks halfway), reset, refuse, goaway, garbage,
 //!                                          large N (a value of N bytes), torn N (breaks off in its middle), pieces N (comes slowly),
 //!                                          vain N (promises N bytes and gives 9), hang (halfway), noise (RESP), twice V, odd V (with figures that make no sense, RESP)
 //!     always HOW                           from now on instances answer at once
@@ -184,6 +185,11 @@
         }
         let reply = match how.split_once(' ').unwrap_or((&how, "")) {
             ("value" | "last", v) => format!("*3\r\n${}\r\n{v}\r\n$-1\r\n$-1\r\n", v.len()),
+            ("cost", v) => {
+                let (cost, v) = v.split_once(' ').unwrap();
+                let figures = format!("used=37,cost={cost}");
+                format!("*3\r\n${}\r\n{v}\r\n${}\r\n{figures}\r\n$-1\r\n", v.len(), figures.len())
+            }
             ("busy" | "refuse", _) => "-BUSY\r\n".to_string(),
             ("error", _) => "-ERR failed\r\n".to_string(),
             ("half" | "hang", _) => "*3\r\n$10\r\nabc".to_string(),
@@ -273,6 +279,12 @@
                     let mut send = respond.send_response(head(200).body(()).unwrap(), false).unwrap();
                     send.send_data(Bytes::copy_from_slice(v.as_bytes()), true).unwrap();
                 }
+                ("cost", v) => {
+                    let (cost, v) = v.split_once(' ').unwrap();
+                    let head = head(200).header("srv-use", format!("used=37,cost={cost}")).body(()).unwrap();
+                    let mut send = respond.send_response(head, false).unwrap();
+                    send.send_data(Bytes::copy_from_slice(v.as_bytes()), true).unwrap();
+                }
                 ("busy", _) => {
                     let declined = head(503).header("srv-declined", "1").body(()).unwrap();
                     respond.send_response(declined, true).unwrap();
@@ -408,6 +420,7 @@
     murmurs: Vec<TcpStream>,
     /// The program has little memory.
     small: bool,
+    settings: String,
     front: Wire,
     ports: HashMap<&'static str, String>,
     clients: HashMap<String, Client>,
@@ -422,6 +435,18 @@
     memory: f64,
 }
 
+/// The settings with these changes: `limits.parallel_tries=true request_classes.1.effect="token"`.
+fn changed(changes: &str) -> String {
+    let mut settings: serde_json::Value = serde_json::from_str(SETTINGS).unwrap();
+    for change in changes.split_whitespace() {
+        let (path, value) = change.split_once('=').unwrap();
+        let pointer = format!("/{}", path.replace('.', "/"));
+        *settings.pointer_mut(&pointer).unwrap_or_else(|| panic!("no setting {path}")) =
+            serde_json::from_str(value).unwrap();
+    }
+    settings.to_string()
+}
+
 /// A loopback address of this stage alone, so that no other test's program or connection can hold its ports.
 fn own_address() -> String {
     static STAGES: AtomicU32 = AtomicU32::new(0);
@@ -482,6 +507,7 @@
             held,
             murmurs: Vec::new(),
             small,
+            settings: changed(first.strip_prefix("with ").unwrap_or("")),
             front,
             ports,
             clients,
@@ -546,11 +572,12 @@
         let at = |party: &str| self.parties[party].0;
         let text = format!(
             r#"{{"name":"n0","listen":"{}","discovery":"127.0.0.1:{}","counter":"127.0.0.1:{}",
-                "seed":"1f","limits":{{"sockets":256,"memory_mb":{}}},"settings":{SETTINGS}}}"#,
+                "seed":"1f","limits":{{"sockets":256,"memory_mb":{}}},"settings":{}}}"#,
             self.ports["resp"],
             at("discovery"),
             at("counter"),
-            if self.small { 10 } else { 192 }
+            if self.small { 10 } else { 192 },
+            self.settings
         );
         std::fs::write(self.folder.join("config.json"), text).unwrap();
         old
@@ -605,10 +632,12 @@
         let content = if safe { String::new() } else { "B".repeat(size.parse().unwrap()) };
         let d = rest.iter().find_map(|w| w.strip_prefix("d=")).unwrap_or("2000");
         let units = rest.iter().find_map(|w| w.strip_prefix("units=")).unwrap_or("2");
+        let key = rest.iter().find_map(|w| w.strip_prefix("k="));
         match self.client(name).await {
             Client::Resp { stream, sent, .. } => {
                 let verb = if safe { "SVC.QUERY" } else { "SVC.SUBMIT" };
-                let terms = format!("c={class},t={plan},d={d},units={units},spread=1,first=0");
+                let key = key.map_or(String::new(), |key| format!(",k={key}"));
+                let terms = format!("c={class},t={plan},d={d},units={units},spread=1,first=0{key}");
                 let partner = format!("{partner:0>16}");
                 let words = [verb, partner.as_str(), id, &terms, &content];
                 let words = &words[..if safe { 4 } else { 5 }];
@@ -620,7 +649,11 @@
                 sent.push_back(id.to_string());
             }
             Client::Http2 { send, streams, .. } => {
-                let request = http::Request::post(format!("http://ingress/commands/{class}"))
+                let mut request = http::Request::post(format!("http://ingress/commands/{class}"));
+                if let Some(key) = key {
+                    request = request.header("idempotency-key", key);
+                }
+                let request = request
                     .header("api-customer", format!("{partner:0>16}"))
                     .header("req-id", *id)
                     .header("api-plan", *plan)
@@ -878,7 +911,7 @@
             ["counter", how] => *self.shared.counter.borrow_mut() = how.to_string(),
             ["agent", how] => *self.shared.agent.borrow_mut() = how.to_string(),
             ["stop"] => self.signal("-TERM"),
-            ["held" | "small"] => {}
+            ["held" | "small"] | ["with", ..] => {}
             ["crowd", n] => {
                 for _ in 0..n.parse::<usize>().unwrap() {
                     let stream = self.ping().await.expect("a yes to PING");
