Every setting has its line; check warns of unknown ones and says what the rest mean

Need: operators bring up a second deployment and read its settings by eye; a misspelt key was silently nothing, -1 attempts at once became no quota at all, 1.5 ingresses became one.

--- a/src/check.rs
+++ b/src/check.rs
@@ -3,6 +3,7 @@
 
 use crate::facade::Facade;
 use crate::inventory::Inventory;
+use crate::meaning;
 use crate::name_table::NameTable;
 use crate::operator::Operator;
 use crate::plugin::Plugin;
@@ -10,6 +11,16 @@
 use crate::settings::Config;
 use std::path::Path;
 
+/// What an operator should know of a configuration that `serve` would take: keys that nobody here knows, and what
+/// the settings mean.
+pub fn notes(config: Option<&Path>) -> (Vec<String>, Vec<String>) {
+    let text = config.and_then(|path| std::fs::read_to_string(path).ok()).unwrap_or_default();
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+    let unknown = value.get("settings").map_or(Vec::new(), meaning::unknown);
+    let words = Config::parse(&text).map_or(Vec::new(), |config| meaning::words(&config.platform));
+    (unknown, words)
+}
+
 /// Every fault of the files that `serve` would read, a line each; empty: it would start, if its addresses are
 /// free.
 pub fn faults(config: Option<&Path>, operator: Option<&Path>) -> Vec<String> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -114,6 +114,7 @@
 pub mod hub;
 pub mod inventory;
 pub mod logging;
+pub mod meaning;
 pub mod name_table;
 pub mod node;
 pub mod operator;
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,7 +38,8 @@
 enum Task {
     /// Serves until SIGTERM or SIGINT; as without a sub-command.
     Serve,
-    /// Reads all that `serve` would read; one line a fault, and status 2 if there is one.
+    /// Reads all that `serve` would read; one line a fault, and status 2 if there is one. Else it warns of unknown
+    /// settings and says what they mean.
     Check,
     /// Checks, explains and measures a file of rules, judged by the platform's configuration.
     Rules {
@@ -159,6 +160,9 @@
             let faults = check::faults(line.config.as_deref(), line.operator.as_deref());
             faults.iter().for_each(|fault| eprintln!("{fault}"));
             if faults.is_empty() {
+                let (unknown, words) = check::notes(line.config.as_deref());
+                unknown.iter().for_each(|key| eprintln!("warning: settings.{key}: unknown, and not read"));
+                words.iter().for_each(|line| println!("{line}"));
                 println!("ok");
                 ExitCode::SUCCESS
             } else {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -37,6 +37,14 @@
     fn number(&self) -> Res<f64> {
         self.value.as_f64().ok_or_else(|| ConfigError(format!("settings: {} is not a number", self.path)))
     }
+    /// A whole number, 0 or more: -1 or 2.5 of something countable is a mistake, not a 0 or a 2.
+    fn whole(&self) -> Res<u32> {
+        let number = self.number()?;
+        if !(0.0..=1e6).contains(&number) || number.fract() != 0.0 {
+            return wrong(format!("settings: {} is not a whole number from 0 to 1000000", self.path));
+        }
+        Ok(number as u32)
+    }
     fn text(&self) -> Res<&'a str> {
         self.value.as_str().ok_or_else(|| ConfigError(format!("settings: {} is not a text", self.path)))
     }
@@ -56,6 +64,9 @@
     fn number_or(&self, key: &str, absent: f64) -> Res<f64> {
         self.get(key).map_or(Ok(absent), |at| at.number())
     }
+    fn whole_or(&self, key: &str, absent: u32) -> Res<u32> {
+        self.get(key).map_or(Ok(absent), |at| at.whole())
+    }
     fn flag_or(&self, key: &str, absent: bool) -> Res<bool> {
         self.get(key).map_or(Ok(absent), |at| at.flag())
     }
@@ -89,7 +100,7 @@
     Ok(Plan {
         rate: at.number_or("units_per_s", 0.0)?,
         burst: at.number_or("store_size", 0.0)?,
-        at_once: at.number_or("at_once", 0.0)? as u32,
+        at_once: at.whole_or("at_once", 0)?,
         excess_worth: at.number_or("excess_worth", 0.0)?,
         over_cost: at.number_or("over_cost", 0.0)?,
         ceiling_rate: at.number_or("never_over_rate", 0.0)?,
@@ -124,9 +135,9 @@
     let (limits, rules, info, report) = (part("limits"), part("rules"), part("family_info"), part("report"));
     let columns = report.get("columns").map_or(Ok(Vec::new()), |c| c.items())?;
     Ok(Settings {
-        gateways: root.need("balancers")?.number()? as u32,
-        position: root.number_or("position", 0.0)? as u32,
-        zone: root.number_or("my_zone", 0.0)? as u32,
+        gateways: root.need("balancers")?.whole()?,
+        position: root.whole_or("position", 0)?,
+        zone: root.whole_or("my_zone", 0)?,
         classes: root.need("request_classes")?.items()?.iter().map(class).collect::<Res<_>>()?,
         plans: root.need("plans")?.items()?.iter().map(plan).collect::<Res<_>>()?,
         report: columns.iter().map(field).collect::<Res<_>>()?,
@@ -139,7 +150,7 @@
         counter_timeout: info.number_or("count_wait", 0.0)?,
         settled_later: info.flag_or("cost_after", false)?,
         most_units: info.number_or("most_units", 1.0)?,
-        max_attempts: limits.number_or("most_tries", 1.0)? as u32,
+        max_attempts: limits.whole_or("most_tries", 1)?,
         max_retry_after: limits.number_or("max_retry_after", 0.0)?,
         resolution: root.number_or("resolution", 0.0)?,
         cold_share: rules.number_or("cold_share", 1.0)?,
--- a/tests/start.rs
+++ b/tests/start.rs
@@ -130,6 +130,19 @@
     };
     let config = format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#);
     assert_eq!(check(&config, ""), (Some(0), String::new()));
+    let unknown = config.replace("drain_grace", "drain_grase");
+    let warning = "warning: settings.rules.drain_grase: unknown, and not read\n";
+    assert_eq!(check(&unknown, ""), (Some(0), warning.to_string()));
+    for (good, bad, field) in [
+        (r#""balancers": 1"#, r#""balancers": 1.5"#, "balancers"),
+        (r#""at_once": 0"#, r#""at_once": -1"#, "plans[0].at_once"),
+        (r#""most_tries": 4"#, r#""most_tries": "4""#, "limits.most_tries"),
+        (r#""effect": "pure""#, r#""effect": "poor""#, "request_classes[0].effect"),
+    ] {
+        let (code, said) = check(&config.replace(good, bad), "");
+        assert_eq!((code, said.lines().count()), (Some(2), 1), "{said}");
+        assert!(said.contains(field), "{said} should name {field}");
+    }
     let operator = "[plugin]\nscript = \"none.rhai\"\n[inventory]\nfile = \"bad.csv\"\n";
     let (code, said) = check(&config, operator);
     assert_eq!((code, said.lines().count()), (Some(2), 2), "{said}");
