One piece for refusals, figures on use and the configuration, which the change had twice

Read once more, behaviour as before. core: the refusal that becomes a failure where a command may have run, and the list of attempts that are out, stood twice (carry_out, client_gone, give_up); now Core::refusal and Held::out. upstream: what comes behind a value was matched twice, and load() split its pairs by itself beside core::pairs. wire_http2: terms were walked twice for the key, which was left out and put in again; it now stays where its client wrote it. check: the configuration was read and parsed twice; now once, by check::look. node: the flag of the stop is gone. balance: the lot is drawn only where it is asked for, not for every warm host of a small fleet at each choice. Tests: stand-ins' value and cost, and three ways to settings in tests/core.rs, are one each; assertions as they were.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -647,8 +647,8 @@
         let part = warmth * self.m.warm_rate * span;
         let room = 0.5 * self.set.overload_factor * part;
         let place = u64::from(id) << 32 | u64::from(self.set.position);
-        let luck = lot(place, (now / span + lot(place, -1)).floor() as i64);
-        let drawn = warmth.min(part) < 1.0 && sent <= 0.0 && luck < room.min(part);
+        let luck = || lot(place, (now / span + lot(place, -1)).floor() as i64);
+        let drawn = warmth.min(part) < 1.0 && sent <= 0.0 && luck() < room.min(part);
         f64::from(u8::from(warmth >= 1.0 || sent + 1.0 <= room)).max(DRAWN * f64::from(u8::from(drawn)))
     }
 
--- a/src/check.rs
+++ b/src/check.rs
@@ -8,27 +8,40 @@
 use crate::operator::Operator;
 use crate::plugin::Plugin;
 use crate::routing::Source;
-use crate::settings::Config;
+use crate::settings::{Config, ConfigError};
 use std::path::Path;
 
-/// What an operator should know of a configuration that `serve` would take: keys that nobody here knows, and what
-/// the settings mean.
-pub fn notes(config: Option<&Path>) -> (Vec<String>, Vec<String>) {
-    let text = config.and_then(|path| std::fs::read_to_string(path).ok()).unwrap_or_default();
-    let value: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
-    let unknown = value.get("settings").map_or(Vec::new(), meaning::unknown);
-    let words = Config::parse(&text).map_or(Vec::new(), |config| meaning::words(&config.platform));
-    (unknown, words)
+/// What there is to say of the files that `serve` would read, a line each.
+#[derive(Default)]
+pub struct Findings {
+    /// Every fault; empty: it would start, if its addresses are free.
+    pub faults: Vec<String>,
+    /// Keys of the settings that nobody here knows.
+    pub unknown: Vec<String>,
+    /// What the settings mean.
+    pub words: Vec<String>,
 }
 
-/// Every fault of the files that `serve` would read, a line each; empty: it would start, if its addresses are
-/// free.
-pub fn faults(config: Option<&Path>, operator: Option<&Path>) -> Vec<String> {
+/// Reads all that `serve` would read.
+pub fn look(config: Option<&Path>, operator: Option<&Path>) -> Findings {
+    let text = config.map(Config::text);
+    let config = text.as_ref().map(|text| text.as_ref().map_err(Clone::clone).and_then(|t| Config::parse(t)));
+    let mut findings = Findings::default();
+    if let (Some(Ok(text)), Some(Ok(config))) = (&text, &config) {
+        let value: serde_json::Value = serde_json::from_str(text).unwrap_or_default();
+        findings.unknown = value.get("settings").map_or(Vec::new(), meaning::unknown);
+        findings.words = meaning::words(&config.platform);
+    }
+    findings.faults = faults(config, operator);
+    findings
+}
+
+fn faults(config: Option<Result<Config, ConfigError>>, operator: Option<&Path>) -> Vec<String> {
     let mut faults = Vec::new();
     let mut note = |place: &str, problem: &dyn std::fmt::Display| {
         faults.push(format!("{place}: {}", problem.to_string().replace('\n', " ")));
     };
-    let config = match config.map(Config::read) {
+    let config = match config {
         None => {
             note("EDGE_CONFIG", &"not set");
             None
--- a/src/core.rs
+++ b/src/core.rs
@@ -263,8 +263,13 @@
 
 impl Held {
     /// Whether telling the client to come again can do no harm.
-    fn harmless(&self, safe: bool) -> bool {
-        safe || self.attempts.iter().all(|a| !a.may_have_run)
+    fn harmless(&self, class: &Class) -> bool {
+        class.effect == Repeat::Safe || self.attempts.iter().all(|a| !a.may_have_run)
+    }
+
+    /// The attempts that are out.
+    fn out(&self) -> Vec<u32> {
+        (0..).zip(&self.attempts).filter(|(_, a)| a.out).map(|(i, _)| i).collect()
     }
 
     /// Whether sending it once more, to an instance that stands there, can do no harm: what may have run, or may
@@ -381,7 +386,7 @@
     pub fn client_gone(&mut self, now: f64, id: CommandId) {
         let Some(held) = self.held.get_mut(&id).filter(|h| !h.answered) else { return };
         held.answered = true;
-        let out: Vec<u32> = (0..).zip(&held.attempts).filter(|(_, a)| a.out).map(|(i, _)| i).collect();
+        let out = held.out();
         self.open -= 1;
         self.tally.gone += 1;
         self.facade.report(now, Report::ClientGone(id));
@@ -400,12 +405,10 @@
         ids.sort_unstable();
         for id in ids {
             let Some(held) = self.held.get(&id) else { continue };
-            let effect = self.platform.module.classes[held.command.ask.class].effect;
-            let harmless = held.harmless(effect == Repeat::Safe);
-            let out: Vec<u32> = (0..).zip(&held.attempts).filter(|(_, a)| a.out).map(|(i, _)| i).collect();
+            let out = held.out();
+            let answer = self.refusal(id, after_ms, true);
             // For the module it is as if its client had gone: nothing is sent again.
             self.facade.report(now, Report::ClientGone(id));
-            let answer = if harmless { Answer::Nack { after_ms } } else { Answer::Failed { late: true } };
             self.finish(id, answer);
             for attempt in out {
                 self.abandon(now, id, attempt, Outcome::Cancelled);
@@ -542,15 +545,7 @@
             Verdict::Hold => {}
             Verdict::Send { instance, patience_ms } => self.send(now, id, instance, patience_ms),
             Verdict::Nack { after_ms } => {
-                let safe = |h: &Held| {
-                    let class = &self.platform.module.classes[h.command.ask.class];
-                    h.harmless(class.effect == Repeat::Safe)
-                };
-                // Guards the rule against double effects: whatever was decided, a command that may have run
-                // is not told to come again.
-                let harmless = self.held.get(&id).is_some_and(safe);
-                let answer =
-                    if harmless { Answer::Nack { after_ms } } else { Answer::Failed { late: false } };
+                let answer = self.refusal(id, after_ms, false);
                 self.finish(id, answer);
             }
             Verdict::Fail => {
@@ -560,6 +555,17 @@
         }
     }
 
+    /// A refusal. Guards the rule against double effects: whatever was decided, a command that may have run is not
+    /// told to come again, but has failed.
+    fn refusal(&self, id: CommandId, after_ms: f64, late: bool) -> Answer {
+        let class = |h: &Held| &self.platform.module.classes[h.command.ask.class];
+        if self.held.get(&id).is_some_and(|h| h.harmless(class(h))) {
+            Answer::Nack { after_ms }
+        } else {
+            Answer::Failed { late }
+        }
+    }
+
     fn send(&mut self, now: f64, id: CommandId, instance: InstanceId, patience_ms: f64) {
         let Some(held) = self.held.get_mut(&id) else { return };
         let attempt = held.attempts.len() as u32;
--- a/src/main.rs
+++ b/src/main.rs
@@ -157,10 +157,10 @@
             }
         },
         Some(Task::Check) => {
-            let faults = check::faults(line.config.as_deref(), line.operator.as_deref());
+            let check::Findings { faults, unknown, words } =
+                check::look(line.config.as_deref(), line.operator.as_deref());
             faults.iter().for_each(|fault| eprintln!("{fault}"));
             if faults.is_empty() {
-                let (unknown, words) = check::notes(line.config.as_deref());
                 unknown.iter().for_each(|key| eprintln!("warning: settings.{key}: unknown, and not read"));
                 words.iter().for_each(|line| println!("{line}"));
                 println!("ok");
--- a/src/node.rs
+++ b/src/node.rs
@@ -459,14 +459,16 @@
     }
     let longest = node.hub.platform().module.classes.iter().map(|c| c.deadline * 1e3).fold(0.0, f64::max);
     let last = begun + longest.min(STOP_MS.0) + STOP_MS.1;
-    let mut given_up = false;
-    while connections() > 0 && node.hub.now() < last {
-        if !given_up && node.hub.now() >= last - GIVE_UP_MS {
-            given_up = true;
-            tracing::info!(owed = node.hub.figures().1, "giving up what is owed");
-            node.hub.give_up();
+    let gone_by = async |end: f64| {
+        while connections() > 0 && node.hub.now() < end {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        connections() == 0
+    };
+    if !gone_by(last - GIVE_UP_MS).await {
+        tracing::info!(owed = node.hub.figures().1, "giving up what is owed");
+        node.hub.give_up();
+        gone_by(last).await;
     }
     node.log_figures();
     tracing::info!(ms = (node.hub.now() - begun).round(), "stopped");
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -260,8 +260,15 @@
     /// # Errors
     /// It cannot be read, or a field is missing or makes no sense.
     pub fn read(path: &Path) -> Res<Config> {
-        let text = std::fs::read_to_string(path);
-        Config::parse(&text.map_err(|e| ConfigError(format!("{}: {e}", path.display())))?)
+        Config::parse(&Config::text(path)?)
+    }
+
+    /// The text of its file.
+    ///
+    /// # Errors
+    /// It cannot be read.
+    pub fn text(path: &Path) -> Res<String> {
+        std::fs::read_to_string(path).map_err(|e| ConfigError(format!("{}: {e}", path.display())))
     }
 
     /// The keys in which `new` differs although a running program cannot follow them.
--- a/src/upstream.rs
+++ b/src/upstream.rs
@@ -4,7 +4,7 @@
 //! abandoned attempt's connection open, or reuse one whose peer has closed it.
 
 use crate::api::Outcome;
-use crate::core::{End, Start, Value};
+use crate::core::{pairs, End, Start, Value};
 use crate::facade::{CommandId, InstanceId};
 use crate::flow::Intake;
 use crate::hub::Hub;
@@ -678,7 +678,8 @@
         Reply::Array(items) => match items.as_slice() {
             [Reply::Bulk(Some(value)), rest @ ..] => {
                 let (value, load) = (Some(Value::Whole(value.to_vec())), report(platform, rest));
-                Some(End { outcome: Outcome::Ok, value, load, cost: settled(platform, rest) })
+                let cost = text_at(rest, 0).and_then(|figures| wire::cost(platform, figures));
+                Some(End { outcome: Outcome::Ok, value, load, cost })
             }
             _ => None,
         },
@@ -693,26 +694,23 @@
             let last = words.next_back().filter(|w| w.contains(&b'='));
             let load = last.map_or(Vec::new(), |report| load(platform, report));
             // Units are settled by good answers alone.
-            Some(End { outcome, value: None, load, cost: None })
+            Some(End { load, ..End::without(outcome) })
         }
         _ => None,
     }
 }
 
-/// The true units among what comes behind a value.
-fn settled(platform: &Platform, rest: &[Reply]) -> Option<f64> {
-    match rest.first() {
-        Some(Reply::Bulk(Some(figures))) => wire::cost(platform, figures),
+/// What comes behind a value: the figures on use, and the load report; none: null, or no text.
+fn text_at<'a>(rest: &[Reply<'a>], place: usize) -> Option<&'a [u8]> {
+    match rest.get(place) {
+        Some(Reply::Bulk(text)) => *text,
         _ => None,
     }
 }
 
 /// The load report among what comes behind a value; empty where there is none.
 fn report(platform: &Platform, rest: &[Reply]) -> Vec<f64> {
-    match rest.get(1) {
-        Some(Reply::Bulk(Some(report))) => load(platform, report),
-        _ => Vec::new(),
-    }
+    text_at(rest, 1).map_or(Vec::new(), |report| load(platform, report))
 }
 
 /// The figures of a load report in the order of the settings' columns; empty where one is missing or no number.
@@ -728,8 +726,7 @@
             "fail_rate" => "eps",
             _ => column,
         };
-        let pairs = text.split(',').filter_map(|p| p.split_once('='));
-        let mut named = pairs.filter(|(name, _)| name == column || *name == other);
+        let mut named = pairs(text).filter(|(name, _)| name == column || *name == other);
         let value = named.next().and_then(|(_, value)| value.parse::<f64>().ok());
         value.filter(|v| v.is_finite() && *v >= 0.0)
     };
--- a/src/wire_http2.rs
+++ b/src/wire_http2.rs
@@ -74,13 +74,12 @@
         return Err(BadRequest("a value holds a comma".into()));
     }
     let mut terms = format!("c={class},t={plan},d={deadline}");
-    for (name, value) in pairs(text(headers, TERMS)?).filter(|(name, _)| !OWN.contains(name)) {
+    // A key may stand among the terms too; one in both places is one too many, and judged as that.
+    let taken = |name: &str| name == "k" || !OWN.contains(&name);
+    for (name, value) in pairs(text(headers, TERMS)?).filter(|(name, _)| taken(name)) {
         terms.extend([",", name, "=", value]);
     }
-    // The platform's form is taken too; a key in both is one too many, and judged as that.
-    let listed = pairs(text(headers, TERMS)?).filter(|(name, _)| *name == "k").map(|(_, key)| key);
-    let own = headers.get_all(KEY).iter().map(|key| key.to_str().unwrap_or(""));
-    for key in own.chain(listed) {
+    for key in headers.get_all(KEY).iter().map(|key| key.to_str().unwrap_or("")) {
         if key.contains(',') {
             return Err(BadRequest(format!("{KEY} holds a comma")));
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -9,6 +9,16 @@
 const SETTINGS: &str = include_str!("stage/settings.json");
 const NOW: f64 = 1.0e12;
 
+/// The stage's settings with these texts replaced, each of which must be there.
+fn platform(changes: &[(&str, &str)]) -> Rc<driftgap::settings::Platform> {
+    let mut text = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#);
+    for (old, new) in changes {
+        assert!(text.contains(old), "{old}");
+        text = text.replace(old, new);
+    }
+    Rc::new(Config::parse(&text).unwrap().platform)
+}
+
 struct Bed {
     core: Core,
     platform: Rc<driftgap::settings::Platform>,
@@ -16,9 +26,7 @@
 
 impl Bed {
     fn new(most_bytes: usize) -> Bed {
-        let text = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#)
-            .replace(r#""counter": true"#, r#""counter": false"#);
-        let platform = Rc::new(Config::parse(&text).unwrap().platform);
+        let platform = platform(&[(r#""counter": true"#, r#""counter": false"#)]);
         let facade = Facade::new(platform.module.clone(), 7).unwrap();
         let mut core = Core::new(platform.clone(), facade, most_bytes);
         core.names(NOW, ListKind::Full, (0..3).map(|h| entry(h, HostState::Ready)).collect());
@@ -87,15 +95,11 @@
 
 #[test]
 fn keyed_work_stays_in_its_zone_and_window_and_copies_go_out_where_they_may() {
-    let text = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#)
-        .replace(r#""counter": true"#, r#""counter": false"#)
-        .replace(
-            r#""effect": "side_effect",
-   "group": "all""#,
-            r#""effect": "token","group": "zone""#,
-        )
-        .replace(r#""parallel_tries": false"#, r#""parallel_tries": true"#);
-    let platform = Rc::new(Config::parse(&text).unwrap().platform);
+    let platform = platform(&[
+        (r#""counter": true"#, r#""counter": false"#),
+        ("\"effect\": \"side_effect\",\n   \"group\": \"all\"", r#""effect": "token","group": "zone""#),
+        (r#""parallel_tries": false"#, r#""parallel_tries": true"#),
+    ]);
     let mut set = platform.module.clone();
     // A module that would send it anywhere: the core must hold it by itself.
     set.classes[1].group = driftgap::Group::All;
@@ -127,9 +131,7 @@
 
 #[test]
 fn a_keyed_command_has_one_key() {
-    let text = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#)
-        .replace(r#""effect": "side_effect""#, r#""effect": "token""#);
-    let platform = Config::parse(&text).unwrap().platform;
+    let platform = platform(&[(r#""effect": "side_effect""#, r#""effect": "token""#)]);
     for (key, good) in
         [("", false), (",k=", false), (",k=5c0f", true), (",k=1,k=1", false), (",k=1,k=2", false)]
     {
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -158,6 +158,12 @@
     format!("{} {}", value.len(), if good { "bytes" } else { "SPOILT" })
 }
 
+/// The figures on use and the value of `cost N V`.
+fn figured(v: &str) -> (String, &str) {
+    let (cost, v) = v.split_once(' ').unwrap();
+    (format!("used=37,cost={cost}"), v)
+}
+
 async fn resp_instance(name: String, mut stream: TcpStream, shared: Shared) {
     let mut buffer = Vec::new();
     loop {
@@ -186,8 +192,7 @@
         let reply = match how.split_once(' ').unwrap_or((&how, "")) {
             ("value" | "last", v) => format!("*3\r\n${}\r\n{v}\r\n$-1\r\n$-1\r\n", v.len()),
             ("cost", v) => {
-                let (cost, v) = v.split_once(' ').unwrap();
-                let figures = format!("used=37,cost={cost}");
+                let (figures, v) = figured(v);
                 format!("*3\r\n${}\r\n{v}\r\n${}\r\n{figures}\r\n$-1\r\n", v.len(), figures.len())
             }
             ("busy" | "refuse", _) => "-BUSY\r\n".to_string(),
@@ -275,14 +280,13 @@
                 return;
             }
             match how.split_once(' ').unwrap_or((&how, "")) {
-                ("value", v) => {
-                    let mut send = respond.send_response(head(200).body(()).unwrap(), false).unwrap();
-                    send.send_data(Bytes::copy_from_slice(v.as_bytes()), true).unwrap();
-                }
-                ("cost", v) => {
-                    let (cost, v) = v.split_once(' ').unwrap();
-                    let head = head(200).header("srv-use", format!("used=37,cost={cost}")).body(()).unwrap();
-                    let mut send = respond.send_response(head, false).unwrap();
+                (word @ ("value" | "cost"), v) => {
+                    let (mut head, mut v) = (head(200), v);
+                    if word == "cost" {
+                        let (figures, value) = figured(v);
+                        (head, v) = (head.header("srv-use", figures), value);
+                    }
+                    let mut send = respond.send_response(head.body(()).unwrap(), false).unwrap();
                     send.send_data(Bytes::copy_from_slice(v.as_bytes()), true).unwrap();
                 }
                 ("busy", _) => {
