--- /dev/null
+++ b/crates/group/src/frame.rs
@@ -0,0 +1,164 @@
+//! The frames of the link between members. It owns their form, bounds and versions: a length, a checksum, a body. It
+//! must never take a body that is longer than its bound, or trust one whose checksum differs.
+
+use crate::record::MessageRecord;
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+
+/// The versions of the link that this program speaks, the oldest and the newest.
+pub const VERSIONS: (u16, u16) = (1, 1);
+/// Largest frame, bytes: a state with all its documents and room beside it.
+pub const MOST_FRAME: usize = 6 << 20;
+/// Largest greeting, bytes.
+pub const MOST_HELLO: usize = 512;
+/// Length and checksum.
+const HEAD: usize = 8;
+const MAGIC: [u8; 4] = *b"DGL1";
+
+/// Bytes that are no frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum FrameError {
+    /// Longer than may be.
+    #[error("a frame of {0} bytes")]
+    Long(usize),
+    /// The checksum differs.
+    #[error("torn or spoilt bytes")]
+    Spoilt,
+    /// It holds nothing that is known.
+    #[error("no such frame")]
+    Unknown,
+}
+
+/// The first frame of whoever connects.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// That this is a link at all.
+    pub magic: [u8; 4],
+    /// The versions that it speaks.
+    pub versions: (u16, u16),
+    /// Its group; 0: it is in none yet.
+    pub group: u64,
+    /// Its incarnation; 0: none yet.
+    pub id: u64,
+    /// Its name.
+    pub name: String,
+    /// Whom it means to reach.
+    pub to: String,
+}
+
+/// The answer to it, and the only frame that way.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// The version to be spoken.
+    pub version: u16,
+    /// The group of whom it reached.
+    pub group: u64,
+    /// Its incarnation.
+    pub id: u64,
+}
+
+impl Hello {
+    /// A greeting.
+    pub fn new(group: u64, id: u64, name: &str, to: &str) -> Hello {
+        Hello { magic: MAGIC, versions: VERSIONS, group, id, name: name.into(), to: to.into() }
+    }
+
+    /// The version to be spoken with whoever sent this; why not, if with none.
+    ///
+    /// # Errors
+    /// What is wrong with it, in words.
+    pub fn judge(&self, group: u64, name: &str) -> Result<u16, &'static str> {
+        if self.magic != MAGIC {
+            return Err("no link of this program");
+        }
+        if self.to != name {
+            return Err("meant for another member");
+        }
+        if self.group != 0 && group != 0 && self.group != group {
+            return Err("of another group");
+        }
+        if self.versions.1 < VERSIONS.0 || self.versions.0 > VERSIONS.1 {
+            return Err("speaks no version that is known here");
+        }
+        Ok(self.versions.1.min(VERSIONS.1))
+    }
+}
+
+/// What goes over a link.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Nothing: the link is there.
+    Idle,
+    /// The library's.
+    Raft(MessageRecord),
+    /// A member with an empty folder asks to be let in.
+    Join {
+        /// Tells its folder from every other.
+        nonce: u64,
+    },
+    /// It has been.
+    Admitted {
+        /// The group.
+        group: u64,
+        /// Its incarnation.
+        id: u64,
+        /// The folder that was let in.
+        nonce: u64,
+    },
+    /// Whom the sender hears, by name: for ways round a link that is cut.
+    Hears(Vec<String>),
+    /// A frame of the library's that goes round by the receiver of this one.
+    Round(MessageRecord),
+}
+
+impl Frame {
+    /// The bytes to be sent.
+    pub fn bytes(&self) -> Vec<u8> {
+        framed(self)
+    }
+}
+
+/// Any body as a frame.
+pub(crate) fn framed<T: Serialize>(body: &T) -> Vec<u8> {
+    let body = postcard::to_stdvec(body).unwrap_or_default();
+    let mut bytes = Vec::with_capacity(HEAD + body.len());
+    bytes.extend((body.len() as u32).to_le_bytes());
+    bytes.extend(crc32fast::hash(&body).to_le_bytes());
+    bytes.extend(body);
+    bytes
+}
+
+impl Hello {
+    /// The bytes to be sent.
+    pub fn bytes(&self) -> Vec<u8> {
+        framed(self)
+    }
+}
+
+impl Welcome {
+    /// The bytes to be sent.
+    pub fn bytes(&self) -> Vec<u8> {
+        framed(self)
+    }
+}
+
+/// The body that the bytes begin with, and how many of them it took; none: it is not whole yet.
+///
+/// # Errors
+/// It is none, or longer than `most`.
+pub fn read_frame<T: DeserializeOwned>(bytes: &[u8], most: usize) -> Result<Option<(T, usize)>, FrameError> {
+    let Some((head, rest)) = bytes.split_first_chunk::<HEAD>() else { return Ok(None) };
+    let [a, b, c, d, e, f, g, h] = *head;
+    let length = u32::from_le_bytes([a, b, c, d]) as usize;
+    if length > most {
+        return Err(FrameError::Long(length));
+    }
+    let Some(body) = rest.get(..length) else { return Ok(None) };
+    if crc32fast::hash(body) != u32::from_le_bytes([e, f, g, h]) {
+        return Err(FrameError::Spoilt);
+    }
+    let (value, left) = postcard::take_from_bytes(body).map_err(|_| FrameError::Unknown)?;
+    if !left.is_empty() {
+        return Err(FrameError::Unknown);
+    }
+    Ok(Some((value, HEAD + length)))
+}
--- /dev/null
+++ b/crates/group/src/lib.rs
@@ -0,0 +1,36 @@
+//! A group of ingresses that hold things for each other: a replicated log, the state machine on it, and the frames of
+//! the link between members. It owns what is agreed, in which order, and when a promise may be given. It must never
+//! open a socket or a file, ask for the time, or know a command of a service client: time, frames and the end of each
+//! write to the disk are passed in, so that the same code runs in a process and, by the thousand, in virtual time.
+//!
+//! Consensus is the library `raft`'s; around it are incarnations (a member that lost its disk is another voter), the
+//! wait for the disk, repeats that take effect once, and what a member says of itself.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod frame;
+mod member;
+mod mirror;
+mod record;
+mod state;
+
+pub use frame::{read_frame, Frame, FrameError, Hello, Welcome, MOST_FRAME, MOST_HELLO, VERSIONS};
+pub use member::{Event, Health, Loaded, Lost, Member, MemberStatus, Role, Settings, Standing};
+pub use record::{Batch, ConfRecord, EntryRecord, HardRecord, MessageRecord, SnapshotRecord};
+pub use state::{
+    Asked, Document, Incarnation, Invitation, Kind, OpId, Outcome, State, Wish, MOST_DOCUMENT, MOST_OUT,
+};
+
+/// How many members vote at most.
+pub const MOST_MEMBERS: usize = 7;
+/// Fewer voters than this promise nothing: what they agree on is not copied far enough.
+pub const LEAST_MEMBERS: usize = 3;
+/// Longest name of a member, bytes.
+pub const MOST_NAME: usize = 64;
+
+/// Whether this can be a member's name: it stands in files, frames and lines of the log.
+pub fn is_name(name: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    !name.is_empty() && name.len() <= MOST_NAME && name.bytes().all(plain)
+}
--- /dev/null
+++ b/crates/group/tests/world/mod.rs
@@ -0,0 +1,386 @@
+//! A group in virtual time: members with disks that take time and may fail, links that delay, drop and are cut, and a
+//! record of every call with its time. The same seed gives the same run.
+#![allow(dead_code)]
+
+use driftgap_group::{Batch, Event, Frame, Loaded, Member, MessageRecord, Outcome, Settings, Standing, Wish};
+use oorandom::Rand64;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A call or read as its caller saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub caller: usize,
+    pub began: f64,
+    /// None: no answer, or one that leaves it open.
+    pub ended: Option<f64>,
+    pub what: What,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    Suspend(String),
+    Restore(String),
+    Read(Option<BTreeSet<String>>),
+}
+
+pub struct Node {
+    pub name: String,
+    pub disk: Option<Loaded>,
+    pub member: Option<Member>,
+    pub up: bool,
+    pub stalled: bool,
+    nonce: u64,
+    lives: u64,
+    /// A batch on its way to the disk, and when it is there.
+    writing: Option<(f64, Batch)>,
+    inbox: Vec<Message>,
+    calls: BTreeMap<u64, usize>,
+    pub lost: bool,
+}
+
+#[derive(Clone)]
+enum Message {
+    Raft(Box<MessageRecord>),
+    Join(usize, u64),
+    Admitted(u64, u64, u64),
+}
+
+/// A fault that is built in to be found.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Planted {
+    Nothing,
+    /// A call is answered when it is sent, not when it is agreed.
+    EarlyYes,
+    /// A member whose folder was lost votes on as the one that it was.
+    VoteAfterLoss,
+    /// What is written counts before it is on the disk.
+    NoSync,
+}
+
+pub struct World {
+    pub now: f64,
+    pub seed: u64,
+    pub rand: Rand64,
+    pub nodes: Vec<Node>,
+    pub seen: Vec<Seen>,
+    pub planted: Planted,
+    /// Links that carry nothing, from and to.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Of a hundred messages so many are dropped.
+    pub drops: u64,
+    pub delay_ms: (f64, f64),
+    pub fsync_ms: (f64, f64),
+    /// Messages and bytes sent so far.
+    pub sent: (u64, u64),
+    net: BTreeMap<(u64, u64), (usize, Message)>,
+    number: u64,
+    members: BTreeMap<String, String>,
+}
+
+fn name(i: usize) -> String {
+    format!("m{i}")
+}
+
+fn save(disk: &mut Loaded, batch: Batch) {
+    if let Some(restored) = batch.restored {
+        disk.cut = (restored.index, restored.term);
+        disk.entries.clear();
+        disk.snapshot = restored;
+    }
+    if let Some(first) = batch.entries.first().map(|e| e.index) {
+        disk.entries.truncate((first - disk.cut.0 - 1) as usize);
+        disk.entries.extend(batch.entries);
+    }
+    if let Some(hard) = batch.hard {
+        disk.hard = hard;
+    }
+    if let Some(snapshot) = batch.snapshot {
+        disk.snapshot = snapshot;
+    }
+    if let Some(cut) = batch.cut {
+        disk.entries.drain(..(cut.0 - disk.cut.0) as usize);
+        disk.cut = cut;
+    }
+}
+
+impl World {
+    /// A group of so many members; the first has begun it.
+    pub fn new(members: usize, seed: u64) -> World {
+        let mut world = World {
+            now: 1000.0,
+            seed,
+            rand: Rand64::new(seed.into()),
+            nodes: Vec::new(),
+            seen: Vec::new(),
+            planted: Planted::Nothing,
+            cut: BTreeSet::new(),
+            drops: 0,
+            delay_ms: (0.2, 2.0),
+            fsync_ms: (0.5, 5.0),
+            sent: (0, 0),
+            net: BTreeMap::new(),
+            number: 0,
+            members: (0..members).map(|i| (name(i), format!("10.0.0.{i}:1"))).collect(),
+        };
+        for i in 0..members {
+            let disk = (i == 0).then(|| Loaded::first(77, &name(0), "10.0.0.0:1", 1));
+            world.nodes.push(Node {
+                name: name(i),
+                disk,
+                member: None,
+                up: false,
+                stalled: false,
+                nonce: 0,
+                lives: 0,
+                writing: None,
+                inbox: Vec::new(),
+                calls: BTreeMap::new(),
+                lost: false,
+            });
+            world.start(i);
+        }
+        world
+    }
+
+    pub fn start(&mut self, i: usize) {
+        let fresh = self.rand.rand_u64();
+        let (now, members, seed) = (self.now, self.members.clone(), self.seed);
+        let node = &mut self.nodes[i];
+        node.up = true;
+        node.lives += 1;
+        node.nonce = fresh;
+        let mut settings = Settings::new(&node.name, (i as u64) << 32 | node.lives, members);
+        settings.seed = seed ^ (i as u64) << 8;
+        settings.keep = 64;
+        node.member = node.disk.clone().map(|disk| Member::new(settings, disk, now).expect("a sound disk"));
+    }
+
+    /// The process is gone; what was on its way to the disk is there, or not.
+    pub fn kill(&mut self, i: usize) {
+        let half = self.rand.rand_range(0..2) == 0;
+        let no_sync = self.planted == Planted::NoSync;
+        let node = &mut self.nodes[i];
+        if let (Some((_, batch)), Some(disk)) = (node.writing.take(), &mut node.disk) {
+            if half && !no_sync {
+                save(disk, batch);
+            }
+        }
+        node.up = false;
+        node.member = None;
+        node.inbox.clear();
+        node.calls.clear();
+    }
+
+    /// The machine is gone with its disk.
+    pub fn lose(&mut self, i: usize) {
+        self.kill(i);
+        let vote = self.planted == Planted::VoteAfterLoss;
+        let node = &mut self.nodes[i];
+        node.disk = node
+            .disk
+            .take()
+            .filter(|_| vote)
+            .map(|old| Loaded { snapshot: old.snapshot.clone(), ..Loaded::first(77, "m0", "10.0.0.0:1", 1) });
+        if let Some(disk) = &mut node.disk {
+            // Under its old number, with the log as it was at the beginning.
+            let id = self.members.keys().position(|n| *n == node.name).unwrap_or(0) as u64 + 1;
+            *disk = Loaded { id, ..Loaded::first(77, "m0", "10.0.0.0:1", 1) };
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, message: Message) {
+        self.sent.0 += 1;
+        if let Message::Raft(m) = &message {
+            self.sent.1 += Frame::Raft(*m.clone()).bytes().len() as u64;
+        }
+        if self.cut.contains(&(from, to)) || self.rand.rand_range(0..100) < self.drops {
+            return;
+        }
+        let delay = self.delay_ms.0 + self.rand.rand_float() * (self.delay_ms.1 - self.delay_ms.0);
+        self.number += 1;
+        self.net.insert((((self.now + delay) * 1e3) as u64, self.number), (to, message));
+    }
+
+    /// Which node holds an incarnation, by the disks.
+    fn holder(&self, id: u64) -> Option<usize> {
+        self.nodes.iter().position(|n| n.member.as_ref().is_some_and(|m| m.id() == id))
+    }
+
+    /// Lets time go by.
+    pub fn run(&mut self, ms: f64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 1.0;
+            while let Some((key, _)) = self.net.first_key_value() {
+                if key.0 as f64 > self.now * 1e3 {
+                    break;
+                }
+                let (to, message) = self.net.pop_first().unwrap().1;
+                if self.nodes[to].up {
+                    self.nodes[to].inbox.push(message);
+                }
+            }
+            for i in 0..self.nodes.len() {
+                if self.nodes[i].up && !self.nodes[i].stalled {
+                    self.turn(i);
+                }
+            }
+        }
+    }
+
+    fn turn(&mut self, i: usize) {
+        let now = self.now;
+        if let Some((due, _)) = &self.nodes[i].writing {
+            if *due > now {
+                return;
+            }
+            let node = &mut self.nodes[i];
+            let (_, batch) = node.writing.take().unwrap();
+            save(node.disk.as_mut().unwrap(), batch);
+            if let Some(member) = &mut node.member {
+                member.written(now);
+            }
+        }
+        if self.nodes[i].member.is_none() {
+            for message in std::mem::take(&mut self.nodes[i].inbox) {
+                if let Message::Admitted(group, id, nonce) = message {
+                    if nonce == self.nodes[i].nonce && self.nodes[i].disk.is_none() {
+                        self.nodes[i].disk = Some(Loaded::admitted(group, id));
+                        self.start(i);
+                    }
+                }
+            }
+            if self.nodes[i].member.is_none() && (now as u64).is_multiple_of(500) {
+                let nonce = self.nodes[i].nonce;
+                (0..self.nodes.len())
+                    .filter(|to| *to != i)
+                    .for_each(|to| self.post(i, to, Message::Join(i, nonce)));
+            }
+            return;
+        }
+        for message in std::mem::take(&mut self.nodes[i].inbox) {
+            let member = self.nodes[i].member.as_mut().unwrap();
+            match message {
+                Message::Raft(m) => member.hear(now, *m),
+                Message::Join(from, nonce) => {
+                    let group = member.state().group;
+                    let id = member.join(now, &name(from), nonce);
+                    if let Some(id) = id {
+                        self.post(i, from, Message::Admitted(group, id, nonce));
+                    }
+                }
+                Message::Admitted(..) => {}
+            }
+        }
+        self.nodes[i].member.as_mut().unwrap().pass(now);
+        self.settle(i);
+    }
+
+    fn settle(&mut self, i: usize) {
+        let now = self.now;
+        let no_sync = self.planted == Planted::NoSync;
+        while let Some(batch) = self.nodes[i].member.as_mut().and_then(Member::batch) {
+            if batch.is_empty() {
+                self.nodes[i].member.as_mut().unwrap().written(now);
+                continue;
+            }
+            let ms = self.fsync_ms.0 + self.rand.rand_float() * (self.fsync_ms.1 - self.fsync_ms.0);
+            self.nodes[i].writing = Some((now + ms, batch));
+            if no_sync {
+                self.nodes[i].member.as_mut().unwrap().written(now);
+            }
+            break;
+        }
+        let Some(member) = &mut self.nodes[i].member else { return };
+        let (messages, events, lost) = (member.messages(), member.events(), member.lost());
+        if lost.is_some() {
+            self.nodes[i].lost = true;
+            self.kill(i);
+            return;
+        }
+        for message in messages {
+            match self.holder(message.to) {
+                Some(to) => self.post(i, to, Message::Raft(Box::new(message))),
+                None => self.sent.0 += 1,
+            }
+        }
+        for event in events {
+            self.note(i, event);
+        }
+    }
+
+    fn note(&mut self, i: usize, event: Event) {
+        let (number, done) = match event {
+            Event::Done(number, outcome) => {
+                let done = matches!(outcome, Outcome::Done | Outcome::Before);
+                (number, done)
+            }
+            Event::Read(number) => (number, true),
+            Event::Expired(number, sent) => {
+                // Never sent on: it has no effect, and is no part of the history.
+                if let Some(seen) = self.nodes[i].calls.remove(&number).filter(|_| !sent) {
+                    self.seen[seen].what = What::Read(None);
+                }
+                return;
+            }
+            Event::Changed => return,
+        };
+        let Some(seen) = self.nodes[i].calls.remove(&number).filter(|_| done) else { return };
+        if let What::Read(held) = &mut self.seen[seen].what {
+            let state = self.nodes[i].member.as_ref().unwrap().state();
+            *held = Some(state.out.keys().cloned().collect());
+        }
+        self.seen[seen].ended.get_or_insert(self.now);
+    }
+
+    /// A call at one member; its place in the record.
+    pub fn call(&mut self, i: usize, what: What) -> Result<usize, Standing> {
+        let now = self.now;
+        let Some(member) = &mut self.nodes[i].member else { return Err(Standing::NoMajority(0.0)) };
+        let number = match &what {
+            What::Suspend(name) => member.ask(now, Wish::Suspend(name.clone()))?,
+            What::Restore(name) => member.ask(now, Wish::Restore(name.clone()))?,
+            What::Read(_) => member.read(now)?,
+        };
+        let early = self.planted == Planted::EarlyYes && !matches!(what, What::Read(_));
+        let seen = Seen { caller: self.seen.len(), began: now, ended: early.then_some(now + 0.5), what };
+        self.seen.push(seen);
+        self.nodes[i].calls.insert(number, self.seen.len() - 1);
+        Ok(self.seen.len() - 1)
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |n: &Node| n.member.as_ref().is_some_and(Member::leads);
+        (0..self.nodes.len()).filter(|i| leads(&self.nodes[*i])).max_by_key(|i| {
+            let status = self.nodes[*i].member.as_ref().unwrap().status(self.now);
+            status.term
+        })
+    }
+
+    /// Runs until it is so; how long that took.
+    pub fn until(&mut self, most_ms: f64, so: impl Fn(&World) -> bool) -> f64 {
+        let began = self.now;
+        while !so(self) {
+            if self.now - began >= most_ms {
+                self.nodes.iter().for_each(|n| {
+                    let status = n.member.as_ref().map(|m| m.status(self.now));
+                    println!("{} up={} lost={} {status:?}", n.name, n.up, n.lost);
+                });
+                panic!("seed {}: nothing in {most_ms} ms", self.seed);
+            }
+            self.run(1.0);
+        }
+        self.now - began
+    }
+
+    /// Whether every member votes and somebody leads.
+    pub fn whole(&self) -> bool {
+        let wanted = self.nodes.len();
+        self.leader().is_some_and(|l| self.nodes[l].member.as_ref().unwrap().voters() == wanted)
+            && self.nodes.iter().all(|n| {
+                n.member.as_ref().is_some_and(|m| {
+                    m.voters() == wanted && m.leader().is_some() && m.state().wanted().contains(&m.id())
+                })
+            })
+    }
+}
--- a/crates/operations/src/bans.rs
+++ b/crates/operations/src/bans.rs
@@ -3,6 +3,7 @@
 //! puts it back, whatever the lists say meanwhile, nor hold more names than its bounds.
 
 use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// Most names that are out at a time.
 pub const MOST_BANS: usize = 1024;
@@ -26,6 +27,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Bans {
     out: BTreeSet<String>,
+    /// Those that the group of ingresses has taken out.
+    group: Arc<BTreeSet<String>>,
     seen: BTreeSet<String>,
     order: VecDeque<String>,
 }
@@ -44,14 +47,31 @@
         }
     }
 
-    /// Whether it is out.
+    /// Whether it is out, by a call here or for the whole group.
     pub fn is_out(&self, name: &str) -> bool {
-        self.out.contains(name)
+        self.out.contains(name) || self.group.contains(name)
     }
 
     /// All that are out.
     pub fn out(&self) -> impl Iterator<Item = &str> {
-        self.out.iter().map(String::as_str)
+        self.out.union(&self.group).map(String::as_str)
+    }
+
+    /// Whether a call here has taken it out.
+    pub fn is_out_here(&self, name: &str) -> bool {
+        self.out.contains(name)
+    }
+
+    /// Whether any list has named it.
+    pub fn was_listed(&self, name: &str) -> bool {
+        self.seen.contains(name)
+    }
+
+    /// What the group holds from now on; the names that have changed.
+    pub fn group_holds(&mut self, names: Arc<BTreeSet<String>>) -> Vec<String> {
+        let changed = self.group.symmetric_difference(&names).cloned().collect();
+        self.group = names;
+        changed
     }
 
     /// Takes one out.
@@ -129,4 +149,16 @@
         assert_eq!(changed, ["s-1", "s-4"]);
         assert_eq!(bans.out().collect::<Vec<_>>(), ["s-2", "s-4"]);
     }
+
+    #[test]
+    fn what_the_group_holds_stands_beside_what_was_said_here() {
+        let mut bans = Bans::default();
+        ["s-1", "s-2"].iter().for_each(|name| bans.listed(name));
+        bans.suspend("s-1");
+        let held = |names: &[&str]| Arc::new(names.iter().map(|n| n.to_string()).collect());
+        assert_eq!(bans.group_holds(held(&["s-1", "s-2"])), ["s-1", "s-2"]);
+        assert_eq!(bans.out().collect::<Vec<_>>(), ["s-1", "s-2"]);
+        assert_eq!(bans.group_holds(held(&[])), ["s-1", "s-2"]);
+        assert!(bans.is_out("s-1") && bans.is_out_here("s-1") && !bans.is_out("s-2"));
+    }
 }
--- a/crates/operations/src/call.rs
+++ b/crates/operations/src/call.rs
@@ -1,6 +1,8 @@
 //! The grammar of calls: one line, one call, one line in answer. It owns the names of calls and the bounds on their
 //! lines. It must never act on a line whose end has not come.
 
+use std::net::SocketAddr;
+
 /// Longest line, its end included.
 pub const MOST_LINE: usize = 256;
 /// Longest id of an instance in a call.
@@ -19,6 +21,27 @@
     Pause,
     /// Take clients again.
     Resume,
+    /// Take an instance out at this ingress alone, where it is in a group.
+    SuspendHere(String),
+    /// Put back what a call took out at this ingress alone.
+    RestoreHere(String),
+    /// What concerns the group of ingresses.
+    Group(GroupCall),
+}
+
+/// What staff ask of the group of ingresses.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GroupCall {
+    /// Who is in it, who leads, how old the copy here is.
+    Status,
+    /// What is out, with all that anybody was told.
+    Out,
+    /// Await a member of this name at this address.
+    Add(String, SocketAddr),
+    /// Let a member go.
+    Remove(String),
+    /// Await a member that takes another's place: the old name, the new one, its address.
+    Replace(String, String, SocketAddr),
 }
 
 /// A line that is no call.
@@ -36,9 +59,17 @@
     /// No instance can have this id.
     #[error("no such id")]
     Id,
+    /// No address stands where one has to.
+    #[error("no such address")]
+    Address,
 }
 
 impl Call {
+    /// Whether the group of ingresses has to be asked, where there is one.
+    pub fn is_for_group(&self) -> bool {
+        matches!(self, Call::Suspend(_) | Call::Restore(_) | Call::Group(_))
+    }
+
     /// The call that these bytes begin with; none: its line has not ended.
     ///
     /// # Errors
@@ -62,12 +93,28 @@
             ["RESUME"] => Ok(Some(Call::Resume)),
             ["SUSPEND", name] => Ok(Some(Call::Suspend(id(name)?))),
             ["RESTORE", name] => Ok(Some(Call::Restore(id(name)?))),
+            ["SUSPEND", name, "HERE"] => Ok(Some(Call::SuspendHere(id(name)?))),
+            ["RESTORE", name, "HERE"] => Ok(Some(Call::RestoreHere(id(name)?))),
+            ["GROUP", words @ ..] => group(words, id).map(|call| Some(Call::Group(call))),
             ["STATUS" | "PAUSE" | "RESUME" | "SUSPEND" | "RESTORE", ..] => Err(BadCall::Words),
             _ => Err(BadCall::Name),
         }
     }
 }
 
+fn group(words: &[&str], id: impl Fn(&str) -> Result<String, BadCall>) -> Result<GroupCall, BadCall> {
+    let at = |text: &str| text.parse().map_err(|_| BadCall::Address);
+    match words {
+        ["STATUS"] => Ok(GroupCall::Status),
+        ["OUT"] => Ok(GroupCall::Out),
+        ["ADD", name, address] => Ok(GroupCall::Add(id(name)?, at(address)?)),
+        ["REMOVE", name] => Ok(GroupCall::Remove(id(name)?)),
+        ["REPLACE", old, new, address] => Ok(GroupCall::Replace(id(old)?, id(new)?, at(address)?)),
+        ["STATUS" | "OUT" | "ADD" | "REMOVE" | "REPLACE", ..] => Err(BadCall::Words),
+        _ => Err(BadCall::Name),
+    }
+}
+
 /// What a caller hears.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
@@ -114,7 +161,14 @@
     fn what_is_no_call_is_named() {
         let long = [b"SUSPEND ".as_slice(), &[b'x'; MOST_LINE]].concat();
         let id = [b"SUSPEND ".as_slice(), &[b'x'; MOST_ID + 1], b"\n"].concat();
-        let cases: [(&[u8], BadCall); 8] = [
+        assert_eq!(Call::read(b"RESTORE s-1 HERE\n"), Ok(Some(Call::RestoreHere("s-1".into()))));
+        let add = GroupCall::Add("n4".into(), ([10, 0, 0, 4], 700).into());
+        assert_eq!(Call::read(b"GROUP ADD n4 10.0.0.4:700\n"), Ok(Some(Call::Group(add))));
+        let cases: [(&[u8], BadCall); 12] = [
+            (b"SUSPEND s-1 THERE\n", BadCall::Words),
+            (b"GROUP\n", BadCall::Name),
+            (b"GROUP ADD n4 here\n", BadCall::Address),
+            (b"GROUP REMOVE\n", BadCall::Words),
             (&long, BadCall::Long),
             (&id, BadCall::Id),
             (b"\n", BadCall::Name),
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -10,5 +10,5 @@
 mod door;
 
 pub use bans::{Ban, Bans, MOST_BANS};
-pub use call::{Answer, BadCall, Call, MOST_ID, MOST_LINE};
+pub use call::{Answer, BadCall, Call, GroupCall, MOST_ID, MOST_LINE};
 pub use door::{Door, Way, EMPTY_MS, NOTICE_MS};
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -2,8 +2,10 @@
 //! their bounds. It must never act on half a line, let a caller that says nothing keep others out, or decide what a
 //! call means: that is `driftgap_operations`'.
 
+use crate::group::{Ended, Group, Seat};
 use crate::hub::Hub;
-use driftgap_operations::{Answer, Ban, Call, MOST_LINE};
+use driftgap_group::{Outcome, Role, Wish};
+use driftgap_operations::{Answer, BadCall, Ban, Call, GroupCall, MOST_LINE};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -15,6 +17,8 @@
 
 /// Most callers at a time; the one that has been silent for longest makes room for the next.
 pub const MOST_CALLERS: usize = 16;
+/// Most calls that wait for the group at a time.
+const MOST_WAITING: usize = 64;
 /// A caller has this long for its line, and as long to read the answer.
 const PATIENCE: Duration = Duration::from_millis(2500);
 
@@ -27,18 +31,82 @@
     fn keep(&self, name: &str, out: bool) -> std::io::Result<()>;
 }
 
+/// What the group agreed on a call, in words.
+fn agreed(hub: &Hub, call: &Call, outcome: Outcome) -> Answer {
+    let name = match call {
+        Call::Suspend(name) | Call::Restore(name) => name,
+        Call::Group(GroupCall::Add(name, _) | GroupCall::Remove(name) | GroupCall::Replace(_, name, _)) => {
+            name
+        }
+        _ => "",
+    };
+    let done = match call {
+        Call::Suspend(_) => ("suspended for the group", "was suspended"),
+        Call::Restore(_) => ("restored for the group", "was not suspended by the group"),
+        Call::Group(GroupCall::Remove(_)) => ("let go", "was let go"),
+        _ => ("awaited", "is a member already"),
+    };
+    match outcome {
+        Outcome::Done | Outcome::Before => {
+            let word = if outcome == Outcome::Done { done.0 } else { done.1 };
+            if matches!(call, Call::Restore(_)) && hub.is_out_here(name) {
+                return Answer::yes(format!("{name} {word}, but is suspended here: RESTORE {name} HERE"));
+            }
+            Answer::yes(format!("{name} {word}"))
+        }
+        Outcome::TooMany => Answer::no("too many are suspended"),
+        Outcome::Unknown => Answer::no(format!("not done: no such member for {name}")),
+        Outcome::Late => Answer::no("not done: it came too late"),
+        _ => Answer::no("not done: refused; at least 3 and at most 7 members vote"),
+    }
+}
+
+/// How the group stands, on one line.
+fn seat(seat: Seat) -> Answer {
+    let status = match seat {
+        Seat::Waiting => {
+            return Answer::no("not in the group yet: the folder is empty, and nobody has let it in")
+        }
+        Seat::Lost(why) => return Answer::no(format!("votes no more: {why}")),
+        Seat::Member(status) => status,
+    };
+    let role = match status.role {
+        Role::Leader => "leader",
+        Role::Follower => "follower",
+        Role::Seeking => "seeking",
+        Role::Copying => "copying",
+    };
+    let members = status.members.iter().map(|m| {
+        let lag = m.lag.map_or(String::new(), |lag| format!(":lag={lag}"));
+        format!("{}:{}:{}{lag}", m.name, m.id, if m.votes { "votes" } else { "copies" })
+    });
+    let text = format!(
+        "role={role} leader={} term={} applied={} agreed={} age_ms={:.0} members={}",
+        status.leader.as_deref().unwrap_or("none"),
+        status.term,
+        status.applied,
+        status.committed,
+        status.age_ms,
+        members.collect::<Vec<_>>().join(",")
+    );
+    Answer { yes: status.leader.is_some(), text }
+}
+
 /// The place where staff call.
 pub struct Calls {
     hub: Rc<Hub>,
     keeper: Option<Rc<dyn Keeper>>,
+    group: Option<Group>,
+    waiting: Cell<usize>,
     callers: RefCell<VecDeque<(u64, AbortHandle)>>,
     next: Cell<u64>,
 }
 
 impl Calls {
     /// No callers yet.
-    pub fn new(hub: Rc<Hub>, keeper: Option<Rc<dyn Keeper>>) -> Rc<Calls> {
-        Rc::new(Calls { hub, keeper, callers: RefCell::default(), next: Cell::new(0) })
+    pub fn new(hub: Rc<Hub>, keeper: Option<Rc<dyn Keeper>>, group: Option<Group>) -> Rc<Calls> {
+        let (callers, next, waiting) = Default::default();
+        Rc::new(Calls { hub, keeper, group, waiting, callers, next })
     }
 
     /// Takes in callers until its task is ended.
@@ -60,8 +128,8 @@
         let calls = self.clone();
         let task = spawn_local(async move {
             // A caller that goes away, or reads nothing, does not mind.
-            let _ = calls.hear(stream).await;
-            calls.callers.borrow_mut().retain(|(n, _)| *n != number);
+            let _ = calls.hear(stream, number).await;
+            calls.said(number);
         });
         let mut callers = self.callers.borrow_mut();
         callers.push_back((number, task.abort_handle()));
@@ -73,15 +141,20 @@
         }
     }
 
-    async fn hear(&self, mut stream: TcpStream) -> std::io::Result<()> {
+    /// This caller is not one of those who may still be silent.
+    fn said(&self, number: u64) {
+        self.callers.borrow_mut().retain(|(n, _)| *n != number);
+    }
+
+    async fn hear(&self, mut stream: TcpStream, number: u64) -> std::io::Result<()> {
         let _ = stream.set_nodelay(true);
         let mut line = Vec::with_capacity(MOST_LINE);
         let read = timeout(PATIENCE, async {
             loop {
                 match Call::read(&line) {
-                    Ok(Some(call)) => return Ok(Some(self.carry_out(call))),
+                    Ok(Some(call)) => return Ok(Some(Ok(call))),
                     Ok(None) => {}
-                    Err(problem) => return Ok(Some(Answer::no(problem.to_string()))),
+                    Err(problem) => return Ok(Some(Err(Answer::no(problem.to_string())))),
                 }
                 // What comes behind the line is left unread.
                 let mut more = (&mut stream).take((MOST_LINE - line.len()) as u64);
@@ -91,7 +164,12 @@
             }
         });
         let answer = match read.await {
-            Ok(Ok(Some(answer))) => answer,
+            Ok(Ok(Some(Ok(call)))) => {
+                // What waits for the group is nobody's to cut off: it may be done already.
+                self.said(number);
+                self.carry_out(call).await
+            }
+            Ok(Ok(Some(Err(answer)))) => answer,
             Ok(Ok(None)) => return Ok(()),
             Ok(Err(e)) => return Err(e),
             Err(_) => Answer::no("no whole line in time"),
@@ -101,9 +179,20 @@
         stream.shutdown().await
     }
 
-    fn carry_out(&self, call: Call) -> Answer {
-        let answer = self.answer(&call);
-        if call != Call::Status {
+    async fn carry_out(&self, call: Call) -> Answer {
+        let answer = match &self.group {
+            Some(group) if call.is_for_group() => {
+                if self.waiting.get() >= MOST_WAITING {
+                    return Answer::no("not done: too many calls wait for the group");
+                }
+                self.waiting.set(self.waiting.get() + 1);
+                let answer = self.ask(group, &call).await;
+                self.waiting.set(self.waiting.get() - 1);
+                answer
+            }
+            _ => self.answer(&call),
+        };
+        if !matches!(call, Call::Status | Call::Group(GroupCall::Status | GroupCall::Out)) {
             tracing::info!(call = ?call, yes = answer.yes, answer = answer.text, "operator");
         }
         answer
@@ -131,6 +220,51 @@
             }
             Call::Suspend(name) => self.ban(name, true),
             Call::Restore(name) => self.ban(name, false),
+            // Without a group there is only here, and no such call.
+            Call::SuspendHere(_) | Call::RestoreHere(_) if self.group.is_none() => {
+                Answer::no(BadCall::Words.to_string())
+            }
+            Call::SuspendHere(name) => self.ban(name, true),
+            Call::RestoreHere(name) => self.ban(name, false),
+            Call::Group(_) => Answer::no(BadCall::Name.to_string()),
+        }
+    }
+
+    /// A call that the whole group is to obey.
+    async fn ask(&self, group: &Group, call: &Call) -> Answer {
+        let wish = match call {
+            Call::Suspend(name) | Call::Restore(name) if !self.hub.was_listed(name) => {
+                return Answer::no(format!("{name} was never listed"));
+            }
+            Call::Suspend(name) => Wish::Suspend(name.clone()),
+            Call::Restore(name) => Wish::Restore(name.clone()),
+            Call::Group(GroupCall::Add(name, at)) => {
+                Wish::Invite { name: name.clone(), address: at.to_string(), instead_of: None }
+            }
+            Call::Group(GroupCall::Replace(old, name, at)) => {
+                Wish::Invite { name: name.clone(), address: at.to_string(), instead_of: Some(old.clone()) }
+            }
+            Call::Group(GroupCall::Remove(name)) => Wish::Remove(name.clone()),
+            Call::Group(GroupCall::Status) => return seat(group.seat().await),
+            _ => {
+                return match group.read().await {
+                    Ended::Done(_, view) => {
+                        let out: Vec<&str> = view.out.iter().map(String::as_str).collect();
+                        Answer::yes(format!("at {}: {}", view.applied, out.join(" ")))
+                    }
+                    Ended::Refused(why) => Answer::no(why),
+                    Ended::Open => Answer::no("no answer in time"),
+                };
+            }
+        };
+        match group.ask(wish).await {
+            Ended::Done(outcome, view) => {
+                // The answer says that it holds here: it does, from before the answer goes out.
+                self.hub.group_holds(view.out);
+                agreed(&self.hub, call, outcome)
+            }
+            Ended::Refused(why) => Answer::no(format!("not done: {why}")),
+            Ended::Open => Answer::no("not known whether it will be done: ask GROUP OUT, or repeat the call"),
         }
     }
 
--- /dev/null
+++ b/src/group/mod.rs
@@ -0,0 +1,240 @@
+//! This ingress in a group with others. It owns the group's thread, and the door between it and the rest: calls go in,
+//! answers and what the group holds come out. It must never let a service client's command wait for the group, nor
+//! exist where the operator's file has no `[group]`: then there is no thread, no listener and no file.
+
+mod engine;
+mod links;
+pub mod store;
+
+use driftgap_group::{is_name, Member, MemberStatus, Outcome, Settings, Wish};
+use engine::Engine;
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use store::{Identity, Store, StoreError};
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Most calls that wait for the group's thread.
+const MOST_WAITING: usize = 256;
+/// The group answers a call by itself before this; if not, its thread hangs on its disk.
+const PATIENCE: Duration = Duration::from_millis(2600);
+
+/// `[group]` of the operator's file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GroupSettings {
+    /// Where other members reach this one.
+    pub listen: SocketAddr,
+    /// What this member keeps on its disk.
+    pub folder: PathBuf,
+    /// Where each member is reached, by name; this ingress is the one of its own name.
+    pub members: BTreeMap<String, SocketAddr>,
+}
+
+impl GroupSettings {
+    /// The members' addresses as the group's log has them.
+    fn texts(&self) -> BTreeMap<String, String> {
+        self.members.iter().map(|(name, address)| (name.clone(), address.to_string())).collect()
+    }
+
+    /// Judges the section for the ingress of this name.
+    ///
+    /// # Errors
+    /// The field and what is wrong with it.
+    pub fn judge(&self) -> Result<(), (&'static str, String)> {
+        if let Some(name) = self.members.keys().find(|name| !is_name(name)) {
+            return Err(("group.members", format!("{name:?} is no name of a member")));
+        }
+        let (least, most) = (driftgap_group::LEAST_MEMBERS, driftgap_group::MOST_MEMBERS);
+        if !(least..=most).contains(&self.members.len()) {
+            return Err(("group.members", format!("must be {least} to {most} members")));
+        }
+        let addresses: BTreeSet<SocketAddr> = self.members.values().copied().collect();
+        if addresses.len() != self.members.len() {
+            return Err(("group.members", "two members at one address".into()));
+        }
+        Ok(())
+    }
+}
+
+/// Why the group's part cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum GroupError {
+    /// The folder cannot be used.
+    #[error("group.folder: {0}")]
+    Folder(#[from] StoreError),
+    /// The link's address cannot be listened on.
+    #[error("group.listen: {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// This ingress is no member.
+    #[error("group.members: {0} is not among them")]
+    Name(String),
+    /// The system refuses.
+    #[error("group: {0}")]
+    System(#[from] std::io::Error),
+}
+
+/// What the group holds, as this ingress knows it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct View {
+    /// Instances that are out.
+    pub out: Arc<BTreeSet<String>>,
+    /// How far the log is carried out here.
+    pub applied: u64,
+}
+
+/// How the group's part of this ingress stands.
+#[derive(Clone, Debug)]
+pub enum Seat {
+    /// Its folder is empty, and nobody has let it in yet.
+    Waiting,
+    /// It is a member.
+    Member(Box<MemberStatus>),
+    /// It neither votes nor promises any more, and why.
+    Lost(String),
+}
+
+/// How a call at the group ended.
+#[derive(Clone, Debug)]
+pub enum Ended {
+    /// It is agreed and on the disks of a majority; what the group holds now.
+    Done(Outcome, View),
+    /// It was not done.
+    Refused(String),
+    /// Nobody knows whether it will yet be done.
+    Open,
+}
+
+/// What the rest of the ingress asks of the group's thread.
+enum Request {
+    Wish(Wish, oneshot::Sender<Ended>),
+    Read(oneshot::Sender<Ended>),
+    Seat(oneshot::Sender<Seat>),
+    Leave(oneshot::Sender<()>),
+}
+
+/// The door to the group's thread.
+#[derive(Clone)]
+pub struct Group {
+    requests: mpsc::Sender<Request>,
+    view: watch::Receiver<View>,
+}
+
+impl Group {
+    async fn request<T>(&self, request: impl FnOnce(oneshot::Sender<T>) -> Request) -> Option<T> {
+        let (answer, answered) = oneshot::channel();
+        self.requests.try_send(request(answer)).ok()?;
+        tokio::time::timeout(PATIENCE, answered).await.ok()?.ok()
+    }
+
+    /// Asks the group for something; back when it is agreed, or will not be known to be in time.
+    pub async fn ask(&self, wish: Wish) -> Ended {
+        self.request(|answer| Request::Wish(wish, answer)).await.unwrap_or(Ended::Open)
+    }
+
+    /// What the group holds now: all that anybody was told is in it.
+    pub async fn read(&self) -> Ended {
+        let refused = || Ended::Refused("the group's part of this ingress does not answer".into());
+        self.request(Request::Read).await.unwrap_or_else(refused)
+    }
+
+    /// How it stands.
+    pub async fn seat(&self) -> Seat {
+        let lost = || Seat::Lost("the group's part of this ingress does not answer".into());
+        self.request(Request::Seat).await.unwrap_or_else(lost)
+    }
+
+    /// Gives leadership away before the process ends.
+    pub async fn leave(&self) {
+        self.request(Request::Leave).await;
+    }
+
+    /// What the group holds, and when that changes.
+    pub fn view(&self) -> watch::Receiver<View> {
+        self.view.clone()
+    }
+}
+
+/// A number like no other: the seeds of the standard library's hashers come from the system.
+fn fresh() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    std::hash::RandomState::new().build_hasher().finish().max(1)
+}
+
+/// Begins a new group, with this member alone in it; others are let in as they come.
+///
+/// # Errors
+/// The folder holds a member already, or cannot be used.
+pub fn init(settings: &GroupSettings, folder: &Path, name: &str) -> Result<u64, GroupError> {
+    let address = settings.members.get(name).ok_or_else(|| GroupError::Name(name.into()))?.to_string();
+    let mut store = Store::open(&folder.join(&settings.folder))?;
+    let (group, nonce) = (fresh(), fresh());
+    let identity = Identity { format: store::FORMAT, group, name: name.into(), id: 1, nonce };
+    store.begin(&identity, &driftgap_group::Loaded::first(group, name, &address, nonce))?;
+    Ok(group)
+}
+
+/// Looks at a member's folder while it does not run, in words.
+///
+/// # Errors
+/// It cannot be used: which record, or who holds it.
+pub fn look(settings: &GroupSettings, folder: &Path, name: &str) -> Result<String, GroupError> {
+    let path = folder.join(&settings.folder);
+    let store = Store::open(&path)?;
+    let Some(identity) = store.identity(name)? else {
+        return Ok(format!("{}: empty; {name} will ask to be let in", path.display()));
+    };
+    let loaded = store.load()?;
+    let (entries, state, term) = (loaded.entries.len(), loaded.snapshot.index, loaded.hard.term);
+    let out = Member::new(Settings::new(name, 0, settings.texts()), loaded, 0.0)
+        .map_err(|e| StoreError::Disk(e.to_string()))?
+        .state()
+        .out
+        .len();
+    Ok(format!(
+        "{}: group {:x}, member {name} as incarnation {}, form {}, term {term}, state at {state} ({out} out), \
+         {entries} entries: sound",
+        path.display(),
+        identity.group,
+        identity.id,
+        identity.format,
+    ))
+}
+
+/// Joins the group, on a thread of its own: its disk may be slow. Paths count from `folder`.
+///
+/// # Errors
+/// The folder or the address cannot be used.
+pub fn start(settings: &GroupSettings, folder: &Path, name: &str) -> Result<Group, GroupError> {
+    if !settings.members.contains_key(name) {
+        return Err(GroupError::Name(name.into()));
+    }
+    let store = Store::open(&folder.join(&settings.folder))?;
+    let identity = store.identity(name)?;
+    let listener =
+        std::net::TcpListener::bind(settings.listen).map_err(|e| GroupError::Listen(settings.listen, e))?;
+    listener.set_nonblocking(true)?;
+    let (requests, asked) = mpsc::channel(MOST_WAITING);
+    let (viewed, view) = watch::channel(View::default());
+    let (settings, name) = (settings.clone(), name.to_string());
+    std::thread::Builder::new().name("group".into()).spawn(move || {
+        // Whatever goes wrong there ends there: calls are told so, and commands are served on.
+        let run = std::panic::AssertUnwindSafe(|| -> std::io::Result<()> {
+            let runtime =
+                tokio::runtime::Builder::new_current_thread().enable_all().build_local(Default::default())?;
+            runtime.block_on(async {
+                let engine = Engine::new(settings, name, store, identity, viewed);
+                engine.run(listener, asked).await
+            })
+        });
+        match std::panic::catch_unwind(run) {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => tracing::error!(error = %e, "the group's part has ended"),
+            Err(_) => tracing::error!("the group's part has ended by a fault; this member votes no more"),
+        }
+    })?;
+    Ok(Group { requests, view })
+}
--- /dev/null
+++ b/src/group/store.rs
@@ -0,0 +1,251 @@
+//! A member's folder: who it is, what it has promised, its log and its last state, in an embedded store. It owns their
+//! form on the disk and every judgement on it. It must never say that something is written before the disk has said
+//! so, go on after a write that failed (what was in memory may be gone, and a second try would not bring it back), or
+//! use a record whose checksum differs.
+
+use driftgap_group::{Batch, EntryRecord, HardRecord, Loaded, SnapshotRecord};
+use redb::{
+    Builder, Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, StorageBackend,
+    TableDefinition,
+};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use std::path::{Path, PathBuf};
+
+/// The form of the folder that this program writes, and the newest that it reads.
+pub const FORMAT: u32 = 1;
+const FILE: &str = "group.redb";
+/// What the store may keep in memory beside what is on the disk, bytes.
+const CACHE: usize = 2 << 20;
+const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
+const HEAD: TableDefinition<&str, &[u8]> = TableDefinition::new("head");
+
+/// Whose folder it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The form of the folder.
+    pub format: u32,
+    /// The group.
+    pub group: u64,
+    /// The member's name.
+    pub name: String,
+    /// Its incarnation.
+    pub id: u64,
+    /// Drawn with the folder.
+    pub nonce: u64,
+}
+
+/// Why a folder cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// Another process uses it.
+    #[error("{0}: another process uses this folder")]
+    Held(PathBuf),
+    /// A newer program wrote it.
+    #[error("{0}: written by a newer program (form {1}, this one knows {FORMAT})")]
+    Newer(PathBuf, u32),
+    /// It belongs to another member.
+    #[error("{0}: the folder of member {1}, not of {2}")]
+    Member(PathBuf, String, String),
+    /// It belongs to another group.
+    #[error("{0}: the folder of another group")]
+    Group(PathBuf),
+    /// It holds a member already.
+    #[error("{0}: holds a member already")]
+    Taken(PathBuf),
+    /// Nothing is there.
+    #[error("{0}: holds no member")]
+    Empty(PathBuf),
+    /// A record is spoilt or missing.
+    #[error("record {0}: torn or spoilt")]
+    Spoilt(String),
+    /// The store or the disk refuses.
+    #[error("{0}")]
+    Disk(String),
+}
+
+fn disk(e: impl std::fmt::Display) -> StoreError {
+    StoreError::Disk(e.to_string())
+}
+
+/// A record with its checksum before it.
+fn sealed<T: Serialize>(value: &T) -> Vec<u8> {
+    let body = postcard::to_stdvec(value).unwrap_or_default();
+    let mut bytes = crc32fast::hash(&body).to_le_bytes().to_vec();
+    bytes.extend(body);
+    bytes
+}
+
+fn opened<T: DeserializeOwned>(name: &str, bytes: &[u8]) -> Result<T, StoreError> {
+    let whole = bytes.split_first_chunk::<4>();
+    let whole = whole.filter(|(sum, body)| crc32fast::hash(body) == u32::from_le_bytes(**sum));
+    let value = whole.and_then(|(_, body)| postcard::from_bytes(body).ok());
+    value.ok_or_else(|| StoreError::Spoilt(name.to_string()))
+}
+
+/// A folder that this process holds.
+pub struct Store {
+    database: Database,
+    path: PathBuf,
+    /// A write has failed: nothing is written any more.
+    broken: bool,
+}
+
+impl Store {
+    /// Opens the folder, made if it is not there, for this process alone.
+    ///
+    /// # Errors
+    /// Another process has it, or the disk refuses.
+    pub fn open(folder: &Path) -> Result<Store, StoreError> {
+        std::fs::create_dir_all(folder).map_err(|e| disk(format!("{}: {e}", folder.display())))?;
+        let path = folder.join(FILE);
+        let database = Builder::new().set_cache_size(CACHE).create(&path).map_err(|e| match e {
+            DatabaseError::DatabaseAlreadyOpen => StoreError::Held(folder.to_path_buf()),
+            e => disk(format!("{}: {e}", path.display())),
+        })?;
+        Ok(Store { database, path: folder.to_path_buf(), broken: false })
+    }
+
+    /// The same on any storage, as tests have it that fails.
+    ///
+    /// # Errors
+    /// It refuses.
+    pub fn on(backend: impl StorageBackend) -> Result<Store, StoreError> {
+        let database = Builder::new().set_cache_size(CACHE).create_with_backend(backend).map_err(disk)?;
+        Ok(Store { database, path: PathBuf::new(), broken: false })
+    }
+
+    fn head<T: DeserializeOwned>(&self, key: &str) -> Result<Option<T>, StoreError> {
+        let read = self.database.begin_read().map_err(disk)?;
+        let table = match read.open_table(HEAD) {
+            Ok(table) => table,
+            Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(e) => return Err(disk(e)),
+        };
+        let value = table.get(key).map_err(disk)?;
+        value.map(|value| opened(key, value.value())).transpose()
+    }
+
+    /// Whose it is; none: nobody's yet.
+    ///
+    /// # Errors
+    /// It is another member's, or cannot be read.
+    pub fn identity(&self, name: &str) -> Result<Option<Identity>, StoreError> {
+        // The form comes first, by itself: what follows it may look different in another one.
+        if let Some(format) = self.head::<u32>("format")?.filter(|format| *format > FORMAT) {
+            return Err(StoreError::Newer(self.path.clone(), format));
+        }
+        let identity: Option<Identity> = self.head("identity")?;
+        match identity {
+            Some(held) if held.name != name => {
+                Err(StoreError::Member(self.path.clone(), held.name, name.into()))
+            }
+            held => Ok(held),
+        }
+    }
+
+    /// Makes it a member's, with what that begins with.
+    ///
+    /// # Errors
+    /// It is a member's already, or the disk refuses.
+    pub fn begin(&mut self, identity: &Identity, loaded: &Loaded) -> Result<(), StoreError> {
+        if self.head::<u32>("format")?.is_some() {
+            return Err(StoreError::Taken(self.path.clone()));
+        }
+        self.commit(true, |head, _| {
+            head.insert("format", sealed(&FORMAT).as_slice())?;
+            head.insert("identity", sealed(identity).as_slice())?;
+            head.insert("hard", sealed(&loaded.hard).as_slice())?;
+            head.insert("snapshot", sealed(&loaded.snapshot).as_slice())?;
+            head.insert("cut", sealed(&loaded.cut).as_slice())?;
+            Ok(())
+        })
+    }
+
+    /// What it holds.
+    ///
+    /// # Errors
+    /// A record is spoilt, or none of it is there.
+    pub fn load(&self) -> Result<Loaded, StoreError> {
+        let identity: Identity =
+            self.head("identity")?.ok_or_else(|| StoreError::Empty(self.path.clone()))?;
+        let missing = |key: &str| StoreError::Spoilt(key.to_string());
+        let hard: HardRecord = self.head("hard")?.ok_or_else(|| missing("hard"))?;
+        let snapshot: SnapshotRecord = self.head("snapshot")?.ok_or_else(|| missing("snapshot"))?;
+        let cut: (u64, u64) = self.head("cut")?.ok_or_else(|| missing("cut"))?;
+        let mut entries = Vec::new();
+        let read = self.database.begin_read().map_err(disk)?;
+        match read.open_table(LOG) {
+            Ok(table) => {
+                for entry in table.iter().map_err(disk)? {
+                    let (index, bytes) = entry.map_err(disk)?;
+                    let name = format!("{} of the log", index.value());
+                    let entry: EntryRecord = opened(&name, bytes.value())?;
+                    if entry.index != index.value() {
+                        return Err(StoreError::Spoilt(name));
+                    }
+                    entries.push(entry);
+                }
+            }
+            Err(redb::TableError::TableDoesNotExist(_)) => {}
+            Err(e) => return Err(disk(e)),
+        }
+        Ok(Loaded { group: identity.group, id: identity.id, hard, snapshot, cut, entries })
+    }
+
+    /// Writes a batch in one piece. It is on the disk when this returns.
+    ///
+    /// # Errors
+    /// The disk refuses, now or before: nothing may be said that follows from the batch.
+    pub fn write(&mut self, batch: &Batch) -> Result<(), StoreError> {
+        self.commit(batch.must_sync() || batch.cut.is_some(), |head, log| {
+            if let Some(restored) = &batch.restored {
+                log.retain(|_, _| false)?;
+                head.insert("snapshot", sealed(restored).as_slice())?;
+                head.insert("cut", sealed(&(restored.index, restored.term)).as_slice())?;
+            }
+            if let Some(first) = batch.entries.first() {
+                log.retain_in(first.index.., |_, _| false)?;
+            }
+            for entry in &batch.entries {
+                log.insert(entry.index, sealed(entry).as_slice())?;
+            }
+            if let Some(hard) = &batch.hard {
+                head.insert("hard", sealed(hard).as_slice())?;
+            }
+            if let Some(snapshot) = &batch.snapshot {
+                head.insert("snapshot", sealed(snapshot).as_slice())?;
+            }
+            if let Some(cut) = &batch.cut {
+                log.retain_in(..=cut.0, |_, _| false)?;
+                head.insert("cut", sealed(cut).as_slice())?;
+            }
+            Ok(())
+        })
+    }
+
+    fn commit(
+        &mut self,
+        sync: bool,
+        write: impl FnOnce(
+            &mut redb::Table<'_, &'static str, &'static [u8]>,
+            &mut redb::Table<'_, u64, &'static [u8]>,
+        ) -> Result<(), redb::StorageError>,
+    ) -> Result<(), StoreError> {
+        if self.broken {
+            return Err(disk("an earlier write failed"));
+        }
+        let all = || -> Result<(), redb::Error> {
+            let mut change = self.database.begin_write()?;
+            change.set_durability(if sync { Durability::Immediate } else { Durability::None })?;
+            {
+                let mut head = change.open_table(HEAD)?;
+                let mut log = change.open_table(LOG)?;
+                write(&mut head, &mut log)?;
+            }
+            Ok(change.commit()?)
+        };
+        let done = all();
+        self.broken = done.is_err();
+        done.map_err(disk)
+    }
+}
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -16,6 +16,7 @@
 use std::cell::{Cell, OnceCell, RefCell, RefMut};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 
 /// Without a word from discovery, the last known list serves after this long, ms.
 const ALONE_MS: f64 = 300.0;
@@ -111,7 +112,8 @@
 }
 
 impl Hub {
-    /// The shared state of an ingress with this configuration, within so much of its memory.
+    /// The shared state of an ingress with this configuration, within so much of its memory; others may take
+    /// instances out for it where it is in a group.
     ///
     /// # Errors
     /// Settings that make no sense.
@@ -120,6 +122,7 @@
         memory_mb: f64,
         plugin: Option<Plugin>,
         clock: Clock,
+        in_group: bool,
     ) -> Result<Rc<Hub>, crate::api::SettingsError> {
         let platform = Rc::new(config.platform.clone());
         let facade = Facade::new(platform.module.clone(), config.seed)?;
@@ -136,7 +139,7 @@
             plugin,
             router: RefCell::default(),
             listed: RefCell::default(),
-            bans: config.operator.map(|_| RefCell::default()),
+            bans: (config.operator.is_some() || in_group).then(RefCell::default),
             told: RefCell::default(),
             door: RefCell::default(),
             ids: Cell::new(0),
@@ -271,6 +274,26 @@
         changed
     }
 
+    /// Whether a call here has taken this one out.
+    pub fn is_out_here(&self, name: &str) -> bool {
+        self.bans.as_ref().is_some_and(|bans| bans.borrow().is_out_here(name))
+    }
+
+    /// Whether any list has named this one.
+    pub fn was_listed(&self, name: &str) -> bool {
+        self.bans.as_ref().is_some_and(|bans| bans.borrow().was_listed(name))
+    }
+
+    /// The group of ingresses holds these instances as taken out, from now on.
+    pub fn group_holds(&self, out: Arc<BTreeSet<String>>) {
+        let Some(bans) = &self.bans else { return };
+        let changed = bans.borrow_mut().group_holds(out);
+        if !changed.is_empty() {
+            tracing::info!(changed = changed.join(" "), "taken out or put back by the group");
+            self.tell_again(&changed);
+        }
+    }
+
     /// Tells the core once more of these instances, as far as a list holds them.
     fn tell_again(&self, names: &[String]) {
         let named =
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -110,6 +110,7 @@
 pub mod facade;
 pub mod flow;
 pub mod front;
+pub mod group;
 pub mod handover;
 pub mod hub;
 pub mod inventory;
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,15 +5,19 @@
 
 use clap::{Parser, Subcommand};
 use driftgap::check;
+use driftgap::group;
 use driftgap::logging::{self, LogFormat};
 use driftgap::node::{self, Signals};
 use driftgap::operator::Operator;
 use driftgap::rules::{self, Sample};
 use driftgap::settings::{address_of, Config};
 use socket2::Socket;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::os::fd::{BorrowedFd, RawFd};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// An ingress for a service sold by plan: admission, quota, routing and retries.
 ///
@@ -41,6 +45,11 @@
     /// Reads all that `serve` would read; one line a fault, and status 2 if there is one. Else it warns of unknown
     /// settings and says what they mean.
     Check,
+    /// The group of ingresses: begins one, asks a running ingress about it, looks at a folder.
+    Group {
+        #[command(subcommand)]
+        task: GroupTask,
+    },
     /// Checks, explains and measures a file of rules, judged by the platform's configuration.
     Rules {
         #[command(subcommand)]
@@ -48,6 +57,37 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+enum GroupTask {
+    /// Begins a group on this machine, once; the other members' folders stay empty, and they are let in as they come.
+    Init,
+    /// Looks at this member's folder, while it does not run: every record, and what they say.
+    Check,
+    /// Asks the running ingress how the group stands; status 1 where it says no.
+    Status,
+    /// Awaits a further member; its own file has to name it too.
+    Add {
+        /// Its name.
+        name: String,
+        /// Where its link listens.
+        address: SocketAddr,
+    },
+    /// Lets a member go for good; never fewer than three stay.
+    Remove {
+        /// Its name.
+        name: String,
+    },
+    /// Awaits a member that takes another's place: until it has all that was promised, the old one votes.
+    Replace {
+        /// Who goes.
+        old: String,
+        /// Who comes.
+        new: String,
+        /// Where the new one's link listens.
+        address: SocketAddr,
+    },
+}
+
 #[derive(Debug, Subcommand)]
 enum RulesTask {
     /// Names every fault with the line that it is in, and status 2 if there is one.
@@ -142,10 +182,81 @@
     }
 }
 
+/// One call to the running ingress of this configuration; its answer.
+fn call(config: &Config, text: &str) -> Result<String, String> {
+    let address = match text_of_operator(config)? {
+        Some(address) => address,
+        None => return Err("EDGE_CONFIG: operator: not set; a running ingress is called there".into()),
+    };
+    let asked = || -> std::io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(3))?;
+        stream.set_read_timeout(Some(Duration::from_secs(6)))?;
+        stream.write_all(format!("{text}\n").as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok(answer.trim_end().to_string())
+    };
+    asked().map_err(|e| format!("{address}: {e}"))
+}
+
+fn text_of_operator(config: &Config) -> Result<Option<SocketAddr>, String> {
+    match text("EDGE_OPERATOR")? {
+        Some(calls) => address_of("EDGE_OPERATOR", &calls).map(Some).map_err(|e| e.to_string()),
+        None => Ok(config.operator),
+    }
+}
+
+/// What concerns the group; whether the answer is a yes, and the answer.
+fn group(
+    config: Option<PathBuf>,
+    operator: Option<PathBuf>,
+    task: &GroupTask,
+) -> Result<(bool, String), String> {
+    let path = config.ok_or("EDGE_CONFIG: not set")?;
+    let config = Config::read(&path).map_err(|e| format!("EDGE_CONFIG: {e}"))?;
+    let told = |text: String| call(&config, &text).map(|answer| (answer.starts_with("ACK"), answer));
+    let file = || -> Result<(group::GroupSettings, PathBuf), String> {
+        let path = operator.clone().ok_or("DRIFTGAP_OPERATOR: not set")?;
+        let operator = Operator::read(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+        let settings = operator.group.ok_or_else(|| format!("{}: has no [group]", path.display()))?;
+        Ok((settings, operator.folder))
+    };
+    match task {
+        GroupTask::Init => {
+            let (settings, folder) = file()?;
+            let group = group::init(&settings, &folder, &config.name).map_err(|e| e.to_string())?;
+            Ok((true, format!("group {group:x} begins with {}", config.name)))
+        }
+        GroupTask::Check => {
+            let (settings, folder) = file()?;
+            let said = group::look(&settings, &folder, &config.name).map_err(|e| e.to_string())?;
+            Ok((true, said))
+        }
+        GroupTask::Status => told("GROUP STATUS".into()),
+        GroupTask::Add { name, address } => told(format!("GROUP ADD {name} {address}")),
+        GroupTask::Remove { name } => told(format!("GROUP REMOVE {name}")),
+        GroupTask::Replace { old, new, address } => told(format!("GROUP REPLACE {old} {new} {address}")),
+    }
+}
+
 fn main() -> ExitCode {
     let line = Line::parse();
     match line.task {
         None | Some(Task::Serve) => serve(line),
+        Some(Task::Group { task }) => match group(line.config, line.operator, &task) {
+            Ok((yes, said)) => {
+                println!("{said}");
+                if yes {
+                    ExitCode::SUCCESS
+                } else {
+                    ExitCode::FAILURE
+                }
+            }
+            Err(problem) => {
+                eprintln!("driftgap: {problem}");
+                ExitCode::from(2)
+            }
+        },
         Some(Task::Rules { task }) => match rules(line.config, &task) {
             Ok(text) => {
                 print!("{text}");
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,7 @@
 use crate::discovery::follow;
 use crate::front::http2::Http2Front;
 use crate::front::resp::RespFront;
+use crate::group::{self, GroupError, View};
 use crate::handover::Handover;
 use crate::hub::{Hub, Network};
 use crate::inventory::{Inventory, InventoryError};
@@ -68,6 +69,9 @@
     /// The plug-in does not load.
     #[error("plugin: {0}")]
     Plugin(#[from] PluginError),
+    /// The group's folder or address cannot be used.
+    #[error("{0}")]
+    Group(#[from] GroupError),
     /// The rules make no sense.
     #[error("routes: {0}")]
     Routes(String),
@@ -334,7 +338,8 @@
     let memory_mb = config.memory_mb * if inherited { BESIDE } else { 1.0 };
     let Signals { mut term, mut int, hang_up } = signals;
     let plugin = operator.plugin.as_ref().map(|p| Plugin::load(p, &operator.folder)).transpose()?;
-    let node = Node::new(&config, Hub::new(&config, memory_mb, plugin, Clock::system())?);
+    let node =
+        Node::new(&config, Hub::new(&config, memory_mb, plugin, Clock::system(), operator.group.is_some())?);
     let hub = node.hub.clone();
     let handover = beside(&config, inherited);
     if let Some(handover) = &handover {
@@ -369,10 +374,16 @@
     if let Some(inventory) = &mut inventory {
         node.load(inventory)?;
     }
+    let group =
+        operator.group.as_ref().map(|g| group::start(g, &operator.folder, &config.name)).transpose()?;
+    if let Some(group) = &group {
+        spawn_local(obey(hub.clone(), group.view()));
+    }
     let listener = front_door(&config, clients)?;
     if let Some(address) = config.operator {
         let listener = bind(address, false).map_err(|e| StartError::Operator(address, e))?;
-        spawn_local(Calls::new(hub.clone(), handover.clone().map(|h| h as Rc<dyn Keeper>)).listen(listener));
+        let keeper = handover.clone().map(|h| h as Rc<dyn Keeper>);
+        spawn_local(Calls::new(hub.clone(), keeper, group.clone()).listen(listener));
         tracing::info!(%address, "operators call");
     }
     let second = match &operator.http2 {
@@ -415,10 +426,26 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
+    if let Some(group) = group {
+        // Beside the drain: who is promised something must not wait for an election.
+        spawn_local(async move { group.leave().await });
+    }
     drain(&node, &front, second.as_ref(), accepting, inherited).await;
     Ok(())
 }
 
+/// Does what the group holds, as soon as this ingress knows it.
+async fn obey(hub: Rc<Hub>, mut view: tokio::sync::watch::Receiver<View>) {
+    loop {
+        let out = view.borrow_and_update().out.clone();
+        hub.group_holds(out);
+        if view.changed().await.is_err() {
+            // The group's part has ended: what it held last goes on to hold.
+            return;
+        }
+    }
+}
+
 /// Listens, beside another process of this ingress where there may be one.
 fn bind(addr: SocketAddr, beside: bool) -> std::io::Result<TcpListener> {
     let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -3,6 +3,7 @@
 //! never repeat a setting of the platform's.
 
 use crate::front::http2::Limits;
+use crate::group::GroupSettings;
 use crate::inventory::InventorySettings;
 use crate::plugin::PluginSettings;
 use serde::Deserialize;
@@ -26,6 +27,8 @@
     pub plugin: Option<PluginSettings>,
     /// Rules: in a file of their own, or here.
     pub routes: Option<Routes>,
+    /// The group of ingresses; off where it is absent.
+    pub group: Option<GroupSettings>,
     /// The file itself.
     #[serde(skip)]
     pub path: PathBuf,
@@ -107,6 +110,9 @@
         if operator.routes.as_ref().is_some_and(|routes| routes.file.is_some() && !routes.here.is_empty()) {
             return wrong("routes.file", "stands beside rules: they are in a file of their own or here");
         }
+        if let Some(Err((field, problem))) = operator.group.as_ref().map(GroupSettings::judge) {
+            return wrong(field, &problem);
+        }
         if let Some(plugin) = &operator.plugin {
             if plugin.operations == 0 {
                 return wrong("plugin.operations", "must be above 0");
@@ -153,6 +159,9 @@
             ("[inventory]\nfile = 1\n", "inventory.file"),
             ("[inventory]\nfile = \"x\"\nshorter = 2\n", "inventory.shorter"),
             ("[routes]\nfile = \"r.toml\"\n[[routes.rule]]\nname = \"a\"\n", "routes.file"),
+            ("[group]\nlisten = \"127.0.0.1:1\"\n", "group"),
+            ("[group]\nlisten = \"x\"\nfolder = \"f\"\nmembers = {}\n", "group.listen"),
+            ("[group]\nlisten = \"127.0.0.1:1\"\nfolder = \"f\"\nmembers = {}\n", "group.members"),
             ("[htpp2]\n", "htpp2"),
             ("[http2\n", "line 1"),
         ];
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,444 @@
+//! Several processes of the program in a group, every directed link between them through a relay of the test's own,
+//! and the language that drives them. `P` is a process by its number, or `leader`; one line, one step:
+//!
+//!     start P ...                 processes are started (the first line of all begins the group at 0)
+//!     whole P ...                 these all vote, and know who leads
+//!     led P ...                   these know who leads, and agree on it
+//!     call P WORD TEXT            an operator's call; the answer begins with the word
+//!     out P NAME ...              what P knows to be out, asked until it is so (no names: nothing)
+//!     says P TEXT                 P's `GROUP STATUS` holds this text, asked until it is so
+//!     begin P TEXT                a call whose answer is waited for later
+//!     ended WORD                  that call's answer begins with the word
+//!     kill P / freeze P / thaw P  SIGKILL, SIGSTOP, SIGCONT
+//!     term P                      SIGTERM, and it ends with status 0
+//!     wipe P                      its folder is gone
+//!     cut P Q / mute P Q          bytes from P to Q: connections end and none come up / all are swallowed
+//!     split P                     cut both ways between P and all others
+//!     slow P Q MS                 bytes from P to Q come so much later
+//!     torn P Q                    the link from P to Q is reset in the middle of what it carries next
+//!     heal                        every link is as it should be
+//!     refused P TEXT              starting P fails with status 2 and one line that holds the text
+//!     served P K                  a command at P is answered with a value
+#![allow(dead_code)]
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::sleep;
+
+const SETTINGS: &str = include_str!("../stage/settings.json");
+/// Every wait for something that has to come.
+const LONG: Duration = Duration::from_secs(30);
+
+/// What a relay does with the bytes of one direction.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Link {
+    Sound,
+    Cut,
+    Mute,
+    Slow(u64),
+    /// Ends in the middle of what comes next, once.
+    Torn,
+}
+
+type Links = Rc<RefCell<HashMap<(usize, usize), Link>>>;
+
+pub struct Peers {
+    pub size: usize,
+    host: String,
+    folder: PathBuf,
+    programs: Vec<Option<Child>>,
+    links: Links,
+    begun: Option<JoinHandle<String>>,
+}
+
+fn own_address() -> String {
+    static GROUPS: AtomicU32 = AtomicU32::new(0);
+    let (group, process) = (GROUPS.fetch_add(1, Ordering::Relaxed), std::process::id());
+    format!("127.{}.{}.{}", 10 + process % 200, process / 200 % 250, 1 + group % 250)
+}
+
+async fn relay(listener: TcpListener, to: String, way: (usize, usize), links: Links) {
+    loop {
+        let Ok((from, _)) = listener.accept().await else { return };
+        if links.borrow()[&way] == Link::Cut {
+            continue;
+        }
+        let (to, links) = (to.clone(), links.clone());
+        spawn_local(async move {
+            let Ok(mut to) = TcpStream::connect(to).await else { return };
+            let mut from = from;
+            let (mut from_reader, mut from_writer) = from.split();
+            let (mut to_reader, mut to_writer) = to.split();
+            let there = async {
+                let mut bytes = [0; 16 << 10];
+                loop {
+                    let n = from_reader.read(&mut bytes).await.unwrap_or(0);
+                    let how = links.borrow()[&way];
+                    match how {
+                        _ if n == 0 => return,
+                        Link::Cut => return,
+                        Link::Mute => continue,
+                        Link::Slow(ms) => sleep(Duration::from_millis(ms)).await,
+                        Link::Torn => {
+                            let _ = to_writer.write_all(&bytes[..n / 2]).await;
+                            links.borrow_mut().insert(way, Link::Sound);
+                            return;
+                        }
+                        Link::Sound => {}
+                    }
+                    if to_writer.write_all(&bytes[..n]).await.is_err() {
+                        return;
+                    }
+                }
+            };
+            let back = async {
+                let mut bytes = [0; 1 << 10];
+                while let Ok(n) = to_reader.read(&mut bytes).await {
+                    if n == 0 || from_writer.write_all(&bytes[..n]).await.is_err() {
+                        return;
+                    }
+                }
+            };
+            // A link that is cut while nothing goes over it ends as well.
+            let cut = async {
+                while links.borrow()[&way] != Link::Cut {
+                    sleep(Duration::from_millis(5)).await;
+                }
+            };
+            tokio::select! {
+                () = there => {}
+                () = back => {}
+                () = cut => {}
+            }
+        });
+    }
+}
+
+/// An instance that answers every command at once.
+async fn instance(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        spawn_local(async move {
+            let mut buffer = Vec::new();
+            while stream.read_buf(&mut buffer).await.is_ok_and(|n| n > 0) {
+                while let Ok(driftgap::wire::Parsed::Whole(_, n)) = driftgap::wire::command_words(&buffer) {
+                    buffer.drain(..n);
+                    let _ = stream.write_all(b"*3\r\n$4\r\nnews\r\n$-1\r\n$-1\r\n").await;
+                }
+            }
+        });
+    }
+}
+
+impl Peers {
+    pub async fn set(size: usize) -> Peers {
+        let host = own_address();
+        let folder = std::env::temp_dir().join(format!("driftgap-peers-{}-{host}", std::process::id()));
+        let links = Links::default();
+        for i in 0..size {
+            for j in 0..size {
+                if i != j {
+                    links.borrow_mut().insert((i, j), Link::Sound);
+                    let at = format!("{host}:{}", 7300 + 10 * i + j);
+                    let listener = TcpListener::bind(at).await.unwrap();
+                    spawn_local(relay(listener, format!("{host}:{}", 7200 + j), (i, j), links.clone()));
+                }
+            }
+        }
+        let mut servers = Vec::new();
+        for name in ["a", "b", "c", "d"] {
+            let listener = TcpListener::bind(format!("{host}:0")).await.unwrap();
+            servers.push(format!(
+                r#"{{"id":"{name}","addr":"{}","zone":"building-1","kind":"small-2c","cell":0,
+                    "state":"active","weight":1.0,"started_ms":0,"protocol":"resp"}}"#,
+                listener.local_addr().unwrap()
+            ));
+            spawn_local(instance(listener));
+        }
+        let mut peers = Peers { size, host, folder, programs: Vec::new(), links, begun: None };
+        for i in 0..size {
+            peers.programs.push(None);
+            std::fs::create_dir_all(peers.home(i)).unwrap();
+            let config = format!(
+                r#"{{"name":"m{i}","listen":"{0}:{1}","operator":"{0}:{2}","settings":{SETTINGS},
+                    "known":{{"version":1,"full":true,"servers":[{3}]}}}}"#,
+                peers.host,
+                7000 + i,
+                7100 + i,
+                servers.join(",")
+            );
+            std::fs::write(peers.home(i).join("config.json"), config).unwrap();
+            peers.settle(i, &(0..size).collect::<Vec<_>>());
+        }
+        let line = peers.command(0).args(["group", "init"]).output().unwrap();
+        assert!(line.status.success(), "{}", String::from_utf8_lossy(&line.stderr));
+        peers
+    }
+
+    /// The operator's file of one process, with these members.
+    fn settle(&self, i: usize, members: &[usize]) {
+        let members = members.iter().map(|j| {
+            let port = if *j == i { 7200 + i } else { 7300 + 10 * i + j };
+            format!("m{j} = \"{}:{port}\"\n", self.host)
+        });
+        let text = format!(
+            "[group]\nlisten = \"{}:{}\"\nfolder = \"group\"\n[group.members]\n{}",
+            self.host,
+            7200 + i,
+            members.collect::<String>()
+        );
+        std::fs::write(self.home(i).join("operator.toml"), text).unwrap();
+    }
+
+    fn home(&self, i: usize) -> PathBuf {
+        self.folder.join(format!("m{i}"))
+    }
+
+    pub fn command(&self, i: usize) -> Command {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_driftgap"));
+        program
+            .env("EDGE_CONFIG", self.home(i).join("config.json"))
+            .env("DRIFTGAP_OPERATOR", self.home(i).join("operator.toml"));
+        program
+    }
+
+    fn start(&mut self, i: usize) {
+        let log = std::fs::File::options().create(true).append(true).open(self.home(i).join("log")).unwrap();
+        let program = self.command(i).stdout(Stdio::null()).stderr(log).spawn().unwrap();
+        self.programs[i] = Some(program);
+    }
+
+    fn signal(&self, i: usize, signal: &str) {
+        let id = self.programs[i].as_ref().expect("a process").id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+    }
+
+    /// An operator's call and its answer; empty: there was none.
+    pub async fn call(&self, i: usize, text: &str) -> String {
+        call(format!("{}:{}", self.host, 7100 + i), text.to_string()).await
+    }
+
+    /// A value of `GROUP STATUS`, as `leader`.
+    pub async fn status(&self, i: usize, key: &str) -> Option<String> {
+        let answer = self.call(i, "GROUP STATUS").await;
+        let value = answer.split_ascii_whitespace().find_map(|w| w.strip_prefix(&format!("{key}=")));
+        value.map(str::to_string)
+    }
+
+    async fn process(&self, word: &str) -> usize {
+        if word != "leader" {
+            return word.parse().unwrap_or_else(|_| panic!("no process {word}"));
+        }
+        let began = Instant::now();
+        loop {
+            for i in 0..self.size {
+                let answer = self.call(i, "GROUP STATUS").await;
+                if answer.contains("role=leader") {
+                    return i;
+                }
+            }
+            assert!(began.elapsed() < LONG, "nobody leads{}", self.logs());
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// The ends of all logs, for whoever looks into a failure.
+    fn logs(&self) -> String {
+        let end = |i: usize| {
+            let text = std::fs::read_to_string(self.home(i).join("log")).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            format!("\n-- m{i}\n{}", lines[lines.len().saturating_sub(12)..].join("\n"))
+        };
+        (0..self.size).map(end).collect()
+    }
+
+    fn set_link(&self, from: usize, to: usize, how: Link) {
+        self.links.borrow_mut().insert((from, to), how);
+    }
+
+    async fn until(&self, line: &str, so: impl AsyncFn() -> Result<(), String>) {
+        let began = Instant::now();
+        loop {
+            match so().await {
+                Ok(()) => return,
+                Err(seen) => {
+                    assert!(began.elapsed() < LONG, "{line}: {seen}{}", self.logs());
+                    sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+    }
+
+    pub async fn step(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_ascii_whitespace().collect();
+        let Some((verb, rest)) = words.split_first() else { return };
+        let mut ids = Vec::new();
+        for word in rest.iter().take_while(|w| **w == "leader" || w.parse::<usize>().is_ok()) {
+            ids.push(self.process(word).await);
+        }
+        let tail = |n: usize| rest[n..].join(" ");
+        match *verb {
+            "start" => ids.iter().for_each(|i| self.start(*i)),
+            "whole" | "led" => {
+                let all = &ids;
+                self.until(line, async || {
+                    let mut leaders = Vec::new();
+                    for i in all {
+                        let answer = self.call(*i, "GROUP STATUS").await;
+                        let votes = answer.matches(":votes").count();
+                        if !answer.starts_with("ACK") || (*verb == "whole" && votes < all.len()) {
+                            return Err(answer);
+                        }
+                        leaders.push(
+                            answer
+                                .split("leader=")
+                                .nth(1)
+                                .and_then(|w| w.split(' ').next().map(String::from)),
+                        );
+                    }
+                    leaders.dedup();
+                    if leaders.len() == 1 {
+                        Ok(())
+                    } else {
+                        Err(format!("{leaders:?}"))
+                    }
+                })
+                .await;
+            }
+            "call" => {
+                let answer = self.call(ids[0], &tail(2)).await;
+                assert!(answer.starts_with(rest[1]), "{line}: {answer}{}", self.logs());
+            }
+            "begin" => {
+                let at = format!("{}:{}", self.host, 7100 + ids[0]);
+                self.begun = Some(spawn_local(call(at, tail(1))));
+            }
+            "ended" => {
+                let answer = self.begun.take().expect("a call").await.unwrap();
+                assert!(answer.starts_with(rest[0]), "{line}: {answer}{}", self.logs());
+            }
+            "out" => {
+                let want = tail(1);
+                self.until(line, async || {
+                    let answer = self.call(ids[0], "GROUP OUT").await;
+                    let held = answer.split_once(": ").map(|(_, names)| names.trim().to_string());
+                    if answer.starts_with("ACK") && (held.as_deref().unwrap_or("") == want) {
+                        return Ok(());
+                    }
+                    Err(answer)
+                })
+                .await;
+            }
+            "says" => {
+                let want = tail(1);
+                self.until(line, async || {
+                    let answer = self.call(ids[0], "GROUP STATUS").await;
+                    if answer.contains(&want) {
+                        Ok(())
+                    } else {
+                        Err(answer)
+                    }
+                })
+                .await;
+            }
+            "kill" => {
+                let mut program = self.programs[ids[0]].take().expect("a process");
+                program.kill().unwrap();
+                program.wait().unwrap();
+            }
+            "term" => {
+                self.signal(ids[0], "-TERM");
+                let mut program = self.programs[ids[0]].take().unwrap();
+                let began = Instant::now();
+                let status = loop {
+                    if let Some(status) = program.try_wait().unwrap() {
+                        break status;
+                    }
+                    assert!(began.elapsed() < LONG, "{line}: it does not end");
+                    sleep(Duration::from_millis(10)).await;
+                };
+                assert!(status.success(), "{line}: {status}{}", self.logs());
+            }
+            "freeze" => self.signal(ids[0], "-STOP"),
+            "thaw" => self.signal(ids[0], "-CONT"),
+            "wipe" => std::fs::remove_dir_all(self.home(ids[0]).join("group")).unwrap(),
+            "cut" => self.set_link(ids[0], ids[1], Link::Cut),
+            "mute" => self.set_link(ids[0], ids[1], Link::Mute),
+            "torn" => self.set_link(ids[0], ids[1], Link::Torn),
+            "slow" => self.set_link(ids[0], ids[1], Link::Slow(rest[2].parse().unwrap())),
+            "split" => (0..self.size).filter(|j| *j != ids[0]).for_each(|j| {
+                self.set_link(ids[0], j, Link::Cut);
+                self.set_link(j, ids[0], Link::Cut);
+            }),
+            "heal" => self.links.borrow_mut().values_mut().for_each(|link| *link = Link::Sound),
+            "refused" => {
+                let out = self.command(ids[0]).output().unwrap();
+                let said = String::from_utf8_lossy(&out.stderr).to_string();
+                let last = said.lines().last().unwrap_or("");
+                assert!(out.status.code() == Some(2) && last.contains(&tail(1)), "{line}: {said}");
+            }
+            "served" => {
+                let mut stream =
+                    TcpStream::connect(format!("{}:{}", self.host, 7000 + ids[0])).await.unwrap();
+                let terms = "c=fetch-episode,t=city,d=2000,units=1,spread=1,first=0";
+                let (id, text) = (rest[1], format!("${}\r\n{terms}", terms.len()));
+                let command = format!(
+                    "*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000000000000007\r\n${}\r\n{id}\r\n{text}\r\n",
+                    id.len()
+                );
+                stream.write_all(command.as_bytes()).await.unwrap();
+                let mut answer = Vec::new();
+                while !answer.ends_with(b"news\r\n") && !answer.starts_with(b"-") {
+                    assert!(stream.read_buf(&mut answer).await.unwrap() > 0, "{line}");
+                }
+                let answer = String::from_utf8_lossy(&answer).to_string();
+                assert!(answer.contains("news"), "{line}: {answer}");
+            }
+            _ => panic!("no such step: {line}"),
+        }
+    }
+}
+
+async fn call(at: String, text: String) -> String {
+    let asked = async {
+        let mut stream = TcpStream::connect(at).await?;
+        stream.write_all(format!("{text}\n").as_bytes()).await?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await?;
+        Ok::<_, std::io::Error>(answer.trim_end().to_string())
+    };
+    // A frozen process takes connections and says nothing.
+    match tokio::time::timeout(Duration::from_secs(6), asked).await {
+        Ok(Ok(answer)) => answer,
+        _ => String::new(),
+    }
+}
+
+impl Drop for Peers {
+    fn drop(&mut self) {
+        for program in self.programs.iter_mut().flatten() {
+            let _ = program.kill();
+            let _ = program.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Plays a schedule with a group of this size.
+pub fn play(size: usize, schedule: &str) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mut peers = Peers::set(size).await;
+        for line in schedule.lines().map(str::trim).filter(|l| !l.starts_with('#')) {
+            let done = tokio::time::timeout(2 * LONG, peers.step(line)).await;
+            assert!(done.is_ok(), "nothing came of: {line}{}", peers.logs());
+        }
+    });
+}
