Messages between members go round by another one where the direct link does not carry

Need: partial connectivity.

Change: members tell each other whom they hear (every 150 ms, passed on once), and what the direct link does not carry goes round by one that does (crates/group/src/roads.rs). Peer holds the whole way from an empty folder to a member, so that simulation and processes run the same code. The disk has a thread of its own: the member listens while a write hangs, and a leader whose disk hangs for 1.5 s gives leadership away.

Member now advances at once and tells the library of the write when it is there (advance_append_async, on_persist_ready).

--- a/crates/group/src/frame.rs
+++ b/crates/group/src/frame.rs
@@ -104,10 +104,17 @@
         /// The folder that was let in.
         nonce: u64,
     },
-    /// Whom the sender hears, by name: for ways round a link that is cut.
-    Hears(Vec<String>),
-    /// A frame of the library's that goes round by the receiver of this one.
+    /// Whom a member hears, by name; told by itself, and passed on once.
+    Hears {
+        /// Who hears.
+        of: String,
+        /// Whom.
+        hears: Vec<String>,
+    },
+    /// The library's, to be passed on to whom it is for: the direct way does not carry.
     Round(MessageRecord),
+    /// One that came round.
+    Passed(MessageRecord),
 }
 
 impl Frame {
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -12,11 +12,14 @@
 mod frame;
 mod member;
 mod mirror;
+mod peer;
 mod record;
+mod roads;
 mod state;
 
 pub use frame::{read_frame, Frame, FrameError, Hello, Welcome, MOST_FRAME, MOST_HELLO, VERSIONS};
 pub use member::{Event, Health, Loaded, Lost, Member, MemberStatus, Role, Settings, Standing};
+pub use peer::{Job, Peer};
 pub use record::{Batch, ConfRecord, EntryRecord, HardRecord, MessageRecord, SnapshotRecord};
 pub use state::{
     Asked, Document, Incarnation, Invitation, Kind, OpId, Outcome, State, Wish, MOST_DOCUMENT, MOST_OUT,
--- a/crates/group/src/member.rs
+++ b/crates/group/src/member.rs
@@ -8,9 +8,10 @@
 use crate::{mirror::Mirror, LEAST_MEMBERS};
 use protobuf::Message as _;
 use raft::eraftpb::{
-    ConfChange, ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, MessageType,
+    ConfChange, ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message,
+    MessageType, Snapshot,
 };
-use raft::{Config, ProgressState, RawNode, Ready, SnapshotStatus, StateRole};
+use raft::{Config, ProgressState, RawNode, ReadState, SnapshotStatus, StateRole};
 use std::collections::BTreeMap;
 
 /// Most wishes and reads of one member that are under way.
@@ -207,10 +208,18 @@
     at: Option<u64>,
 }
 
+/// A batch on its way to the disk, and what waits for it.
+struct Writing {
+    number: u64,
+    restored: Option<Snapshot>,
+    messages: Vec<Message>,
+}
+
 /// A member.
 pub struct Member {
     settings: Settings,
     node: RawNode<Mirror>,
+    group: u64,
     state: State,
     conf: ConfState,
     applied: u64,
@@ -224,7 +233,7 @@
     number: u64,
     joins: BTreeMap<String, f64>,
     snapshots: BTreeMap<u64, f64>,
-    ready: Option<Ready>,
+    writing: Option<Writing>,
     messages: Vec<MessageRecord>,
     events: Vec<Event>,
     lost: Option<Lost>,
@@ -278,6 +287,7 @@
         let mut member = Member {
             settings,
             node,
+            group: loaded.group,
             state,
             conf,
             applied,
@@ -289,7 +299,7 @@
             number: 0,
             joins: BTreeMap::new(),
             snapshots: BTreeMap::new(),
-            ready: None,
+            writing: None,
             messages: Vec::new(),
             events: vec![Event::Changed],
             lost: None,
@@ -298,6 +308,11 @@
         Ok(member)
     }
 
+    /// Its group.
+    pub fn group(&self) -> u64 {
+        self.group
+    }
+
     /// Its incarnation.
     pub fn id(&self) -> u64 {
         self.node.raft.id
@@ -308,6 +323,11 @@
         &self.state
     }
 
+    /// How far the log is carried out here.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
     /// Why it must not go on; none: it may.
     pub fn lost(&self) -> Option<Lost> {
         self.lost
@@ -457,18 +477,19 @@
         }
     }
 
-    /// What has to be on the disk next; none: nothing is to be done. Every batch is to be followed by
-    /// [`Member::written`].
-    pub fn batch(&mut self) -> Option<Batch> {
-        if self.ready.is_some() || self.lost.is_some() || !self.node.has_ready() {
+    /// What has to be on the disk next; none: nothing, or an earlier one is not there yet. Every batch is to be
+    /// followed by [`Member::written`]; meanwhile the member listens, and sends what follows from no write.
+    pub fn batch(&mut self, now: f64) -> Option<Batch> {
+        if self.writing.is_some() || self.lost.is_some() || !self.node.has_ready() {
             return None;
         }
-        let ready = self.node.ready();
+        let mut ready = self.node.ready();
         let mut batch = Batch::default();
         let mirror = self.node.mut_store();
-        if !ready.snapshot().is_empty() {
-            mirror.restore(ready.snapshot());
-            batch.restored = Some(ready.snapshot().into());
+        let restored = (!ready.snapshot().is_empty()).then(|| ready.snapshot().clone());
+        if let Some(snapshot) = &restored {
+            mirror.restore(snapshot);
+            batch.restored = Some(snapshot.into());
         }
         if !mirror.append(ready.entries()) {
             self.lost = Some(Lost::Gap);
@@ -477,13 +498,42 @@
         batch.entries = ready.entries().iter().map(EntryRecord::from).collect();
         if let Some(hard) = ready.hs() {
             mirror.hard = hard.clone();
-            batch.hard = Some(hard.into());
+            // How far the log is agreed is learnt again; it goes along with what has to be written anyway.
+            batch.hard = (ready.must_sync() || restored.is_some()).then(|| hard.into());
+        }
+        self.send(now, ready.take_messages());
+        for read in ready.take_read_states() {
+            self.may_read(&read);
         }
+        self.apply(ready.take_committed_entries());
+        self.writing =
+            Some(Writing { number: ready.number(), restored, messages: ready.take_persisted_messages() });
+        self.node.advance_append_async(ready);
+        self.node.advance_apply_to(self.applied);
         self.cut(&mut batch);
-        self.ready = Some(ready);
+        if self.node.store().wanted() {
+            if let Some(snapshot) = self.snapshot() {
+                self.node.mut_store().offer(snapshot.snapshot());
+            }
+        }
+        self.settle(now);
+        self.retry(now);
         Some(batch)
     }
 
+    /// A read may be answered once the state has come so far.
+    fn may_read(&mut self, read: &ReadState) {
+        let word = |at: usize| {
+            let bytes = read.request_ctx.get(at..at + 8).and_then(|b| b.try_into().ok());
+            bytes.map(u64::from_le_bytes)
+        };
+        // An answer to an earlier life of this process says nothing about this one's calls.
+        let ours = word(0) == Some(self.settings.origin);
+        if let Some(call) = word(8).filter(|_| ours).and_then(|n| self.calls.get_mut(&n)) {
+            call.at.get_or_insert(read.index);
+        }
+    }
+
     /// Puts a state in place of old entries, where there are many.
     fn cut(&mut self, batch: &mut Batch) {
         let (first, applied) = (self.node.store().first(), self.applied);
@@ -511,48 +561,23 @@
 
     /// The batch is on the disk.
     pub fn written(&mut self, now: f64) {
-        let Some(mut ready) = self.ready.take() else { return };
-        self.send(now, ready.take_messages());
-        if !ready.snapshot().is_empty() {
-            let at = ready.snapshot().get_metadata().clone();
-            match State::decode(&ready.snapshot().data) {
+        let Some(Writing { number, restored, messages }) = self.writing.take() else { return };
+        if let Some(snapshot) = restored {
+            match State::decode(&snapshot.data) {
                 Some(state) => self.state = state,
                 None => self.lost = Some(Lost::State),
             }
+            let at = snapshot.get_metadata();
             self.conf = at.get_conf_state().clone();
             self.applied = at.index;
             self.events.push(Event::Changed);
         }
-        self.send(now, ready.take_persisted_messages());
-        for read in ready.take_read_states() {
-            let word = |at: usize| {
-                let bytes = read.request_ctx.get(at..at + 8).and_then(|b| b.try_into().ok());
-                bytes.map(u64::from_le_bytes)
-            };
-            // An answer to an earlier life of this process says nothing about this one's calls.
-            let ours = word(0) == Some(self.settings.origin);
-            if let Some(call) = word(8).filter(|_| ours).and_then(|n| self.calls.get_mut(&n)) {
-                call.at.get_or_insert(read.index);
-            }
-        }
-        self.apply(ready.take_committed_entries());
-        let mut light = self.node.advance(ready);
-        if let Some(commit) = light.commit_index() {
-            self.node.mut_store().hard.commit = commit;
-        }
-        self.send(now, light.take_messages());
-        self.apply(light.take_committed_entries());
-        self.node.advance_apply();
-        if self.node.store().wanted() {
-            if let Some(snapshot) = self.snapshot() {
-                self.node.mut_store().offer(snapshot.snapshot());
-            }
-        }
+        self.node.on_persist_ready(number);
+        self.send(now, messages);
         self.settle(now);
-        self.retry(now);
     }
 
-    fn send(&mut self, now: f64, messages: Vec<raft::eraftpb::Message>) {
+    fn send(&mut self, now: f64, messages: Vec<Message>) {
         for message in &messages {
             let message = MessageRecord::from(message);
             if message.is_snapshot() {
--- /dev/null
+++ b/crates/group/src/peer.rs
@@ -0,0 +1,226 @@
+//! One ingress in the group, from an empty folder on: it asks to be let in, is let in, and is a member from then on. It
+//! owns what goes to whom and by which way. It must never speak as a member before its folder says which one it is.
+
+use crate::frame::Frame;
+use crate::member::{Loaded, Lost, Member, Settings};
+use crate::record::{Batch, MessageRecord};
+use crate::roads::{Roads, Way};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A member with an empty folder asks this often to be let in, ms.
+const JOIN_MS: f64 = 500.0;
+/// Everybody tells whom it hears this often, ms.
+const TELL_MS: f64 = 150.0;
+
+/// What has to be on the disk before anything that follows from it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Job {
+    /// The empty folder becomes this incarnation's.
+    Begin {
+        /// The group.
+        group: u64,
+        /// The incarnation.
+        id: u64,
+        /// What the folder was told apart by.
+        nonce: u64,
+    },
+    /// A member's.
+    Write(Batch),
+}
+
+enum Place {
+    Waiting { nonce: u64, admitted: Option<(u64, u64)> },
+    Sitting(Box<Member>),
+}
+
+/// One ingress in the group.
+pub struct Peer {
+    settings: Settings,
+    place: Place,
+    roads: Roads,
+    /// Names by incarnation, as their links have said them.
+    names: BTreeMap<u64, String>,
+    joined: f64,
+    told: f64,
+    frames: Vec<(String, Frame)>,
+}
+
+impl Peer {
+    /// With an empty folder, told from every other by the nonce.
+    pub fn waiting(settings: Settings, nonce: u64) -> Peer {
+        Peer::new(settings, Place::Waiting { nonce, admitted: None })
+    }
+
+    /// With what its folder holds.
+    ///
+    /// # Errors
+    /// That makes no sense.
+    pub fn sitting(settings: Settings, loaded: Loaded, now: f64) -> Result<Peer, Lost> {
+        let member = Member::new(settings.clone(), loaded, now)?;
+        Ok(Peer::new(settings, Place::Sitting(Box::new(member))))
+    }
+
+    fn new(settings: Settings, place: Place) -> Peer {
+        let roads = Roads::new(&settings.name);
+        let (names, frames) = Default::default();
+        Peer { settings, place, roads, names, joined: f64::MIN, told: f64::MIN, frames }
+    }
+
+    /// The member; none: it has not been let in yet.
+    pub fn member(&self) -> Option<&Member> {
+        match &self.place {
+            Place::Sitting(member) => Some(member),
+            Place::Waiting { .. } => None,
+        }
+    }
+
+    /// The member, to ask it for something.
+    pub fn member_mut(&mut self) -> Option<&mut Member> {
+        match &mut self.place {
+            Place::Sitting(member) => Some(member),
+            Place::Waiting { .. } => None,
+        }
+    }
+
+    /// Everybody that this one is to keep a link to, and where.
+    pub fn others(&self) -> BTreeMap<String, String> {
+        let mut all = self.settings.members.clone();
+        if let Some(state) = self.member().map(Member::state) {
+            let invited = state.invited.iter().map(|(name, i)| (name, &i.address));
+            let members = state.members.values().filter(|m| !m.gone).map(|m| (&m.name, &m.address));
+            for (name, address) in members.chain(invited) {
+                // Where its own file names a member it knows best how to reach it.
+                all.entry(name.clone()).or_insert_with(|| address.clone());
+            }
+            let gone: BTreeSet<&String> =
+                state.members.values().filter(|m| m.gone).map(|m| &m.name).collect();
+            all.retain(|name, _| !gone.contains(name) || state.incarnation(name).is_some());
+        }
+        all.remove(&self.settings.name);
+        all
+    }
+
+    /// A frame has come over the link that this member opened.
+    pub fn hear(&mut self, now: f64, from: &str, id: u64, frame: Frame) {
+        if id != 0 && self.names.get(&id).is_none_or(|name| name != from) {
+            self.names.retain(|_, name| name != from);
+            self.names.insert(id, from.into());
+        }
+        self.roads.heard(now, from);
+        match frame {
+            Frame::Idle => {}
+            Frame::Raft(message) | Frame::Passed(message) => self.take(now, message),
+            Frame::Round(message) => match self.name_of(message.to) {
+                Some(to) if to != self.settings.name => self.frames.push((to, Frame::Passed(message))),
+                _ => self.take(now, message),
+            },
+            Frame::Hears { of, hears } => {
+                if of == from {
+                    let frame = Frame::Hears { of: of.clone(), hears: hears.clone() };
+                    let others = self.others().into_keys().filter(|name| name != from);
+                    self.frames.extend(others.map(|name| (name, frame.clone())));
+                }
+                if of != self.settings.name {
+                    self.roads.told(now, &of, hears);
+                }
+            }
+            Frame::Join { nonce } => {
+                if let Place::Sitting(member) = &mut self.place {
+                    let group = member.group();
+                    if let Some(id) = member.join(now, from, nonce) {
+                        self.frames.push((from.into(), Frame::Admitted { group, id, nonce }));
+                    }
+                }
+            }
+            Frame::Admitted { group, id, nonce: of } => {
+                if let Place::Waiting { nonce, admitted } = &mut self.place {
+                    if of == *nonce {
+                        admitted.get_or_insert((group, id));
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: f64, message: MessageRecord) {
+        if let Place::Sitting(member) = &mut self.place {
+            member.hear(now, message);
+        }
+    }
+
+    fn name_of(&self, id: u64) -> Option<String> {
+        let state = self.member().map(Member::state);
+        let known = state.and_then(|s| s.members.get(&id)).map(|m| m.name.clone());
+        known.or_else(|| self.names.get(&id).cloned())
+    }
+
+    /// What was sent to this member is lost.
+    pub fn broken(&mut self, name: &str) {
+        if let Place::Sitting(member) = &mut self.place {
+            if let Some((id, _)) = member.state().incarnation(name) {
+                member.unreachable(id);
+            }
+        }
+    }
+
+    /// Time goes by.
+    pub fn pass(&mut self, now: f64) {
+        match &mut self.place {
+            Place::Sitting(member) => member.pass(now),
+            Place::Waiting { nonce, .. } if now - self.joined > JOIN_MS => {
+                self.joined = now;
+                let frame = Frame::Join { nonce: *nonce };
+                let others = self.others().into_keys();
+                self.frames.extend(others.map(|name| (name, frame.clone())));
+            }
+            Place::Waiting { .. } => {}
+        }
+        if self.member().is_some() && now - self.told >= TELL_MS {
+            self.told = now;
+            let frame = Frame::Hears { of: self.settings.name.clone(), hears: self.roads.hears(now) };
+            let others = self.others().into_keys();
+            self.frames.extend(others.map(|name| (name, frame.clone())));
+        }
+    }
+
+    /// What has to be on the disk next; none: nothing, or an earlier job is not done. To be followed by
+    /// [`Peer::done`].
+    pub fn job(&mut self, now: f64) -> Option<Job> {
+        match &mut self.place {
+            Place::Waiting { nonce, admitted } => {
+                admitted.map(|(group, id)| Job::Begin { group, id, nonce: *nonce })
+            }
+            Place::Sitting(member) => member.batch(now).map(Job::Write),
+        }
+    }
+
+    /// The job is done.
+    ///
+    /// # Errors
+    /// The member cannot be.
+    pub fn done(&mut self, now: f64) -> Result<(), Lost> {
+        match &mut self.place {
+            Place::Sitting(member) => member.written(now),
+            Place::Waiting { admitted: Some((group, id)), .. } => {
+                let loaded = Loaded::admitted(*group, *id);
+                let member = Member::new(self.settings.clone(), loaded, now)?;
+                self.place = Place::Sitting(Box::new(member));
+            }
+            Place::Waiting { .. } => {}
+        }
+        Ok(())
+    }
+
+    /// What is to be sent, and to whom.
+    pub fn frames(&mut self, now: f64) -> Vec<(String, Frame)> {
+        let messages = self.member_mut().map(Member::messages).unwrap_or_default();
+        for message in messages {
+            let Some(to) = self.name_of(message.to) else { continue };
+            match self.roads.way(now, &to) {
+                Way::Direct => self.frames.push((to, Frame::Raft(message))),
+                Way::By(by) => self.frames.push((by, Frame::Round(message))),
+            }
+        }
+        std::mem::take(&mut self.frames)
+    }
+}
--- a/crates/group/tests/faults.rs
+++ b/crates/group/tests/faults.rs
@@ -28,7 +28,7 @@
         world.lose(leader);
         world.start(leader);
         world.until(15_000.0, World::whole);
-        let back = world.nodes[leader].member.as_ref().unwrap();
+        let back = world.nodes[leader].member().unwrap();
         assert!(back.id() > 3 && back.state().out.contains_key("a"), "seed {seed}");
     }
 }
--- a/crates/group/tests/world/mod.rs
+++ b/crates/group/tests/world/mod.rs
@@ -2,7 +2,7 @@
 //! record of every call with its time. The same seed gives the same run.
 #![allow(dead_code)]
 
-use driftgap_group::{Batch, Event, Frame, Loaded, Member, MessageRecord, Outcome, Settings, Standing, Wish};
+use driftgap_group::{Batch, Event, Frame, Job, Loaded, Member, Outcome, Peer, Settings, Standing, Wish};
 use oorandom::Rand64;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -26,25 +26,17 @@
 pub struct Node {
     pub name: String,
     pub disk: Option<Loaded>,
-    pub member: Option<Member>,
+    peer: Option<Peer>,
     pub up: bool,
     pub stalled: bool,
-    nonce: u64,
     lives: u64,
     /// A batch on its way to the disk, and when it is there.
-    writing: Option<(f64, Batch)>,
-    inbox: Vec<Message>,
+    writing: Option<(f64, Job)>,
+    inbox: Vec<(usize, u64, Frame)>,
     calls: BTreeMap<u64, usize>,
     pub lost: bool,
 }
 
-#[derive(Clone)]
-enum Message {
-    Raft(Box<MessageRecord>),
-    Join(usize, u64),
-    Admitted(u64, u64, u64),
-}
-
 /// A fault that is built in to be found.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Planted {
@@ -72,7 +64,7 @@
     pub fsync_ms: (f64, f64),
     /// Messages and bytes sent so far.
     pub sent: (u64, u64),
-    net: BTreeMap<(u64, u64), (usize, Message)>,
+    net: BTreeMap<(u64, u64), (usize, usize, u64, Frame)>,
     number: u64,
     members: BTreeMap<String, String>,
 }
@@ -103,6 +95,20 @@
     }
 }
 
+impl Node {
+    pub fn member(&self) -> Option<&Member> {
+        self.peer.as_ref().and_then(Peer::member)
+    }
+
+    fn save(&mut self, job: Job) {
+        match (job, &mut self.disk) {
+            (Job::Begin { group, id, .. }, disk) => *disk = Some(Loaded::admitted(group, id)),
+            (Job::Write(batch), Some(disk)) => save(disk, batch),
+            (Job::Write(_), None) => panic!("a write to no folder"),
+        }
+    }
+}
+
 impl World {
     /// A group of so many members; the first has begun it.
     pub fn new(members: usize, seed: u64) -> World {
@@ -127,10 +133,9 @@
             world.nodes.push(Node {
                 name: name(i),
                 disk,
-                member: None,
+                peer: None,
                 up: false,
                 stalled: false,
-                nonce: 0,
                 lives: 0,
                 writing: None,
                 inbox: Vec::new(),
@@ -143,16 +148,18 @@
     }
 
     pub fn start(&mut self, i: usize) {
-        let fresh = self.rand.rand_u64();
+        let nonce = self.rand.rand_u64();
         let (now, members, seed) = (self.now, self.members.clone(), self.seed);
         let node = &mut self.nodes[i];
         node.up = true;
         node.lives += 1;
-        node.nonce = fresh;
         let mut settings = Settings::new(&node.name, (i as u64) << 32 | node.lives, members);
         settings.seed = seed ^ (i as u64) << 8;
         settings.keep = 64;
-        node.member = node.disk.clone().map(|disk| Member::new(settings, disk, now).expect("a sound disk"));
+        node.peer = Some(match node.disk.clone() {
+            Some(disk) => Peer::sitting(settings, disk, now).expect("a sound disk"),
+            None => Peer::waiting(settings, nonce),
+        });
     }
 
     /// The process is gone; what was on its way to the disk is there, or not.
@@ -160,13 +167,11 @@
         let half = self.rand.rand_range(0..2) == 0;
         let no_sync = self.planted == Planted::NoSync;
         let node = &mut self.nodes[i];
-        if let (Some((_, batch)), Some(disk)) = (node.writing.take(), &mut node.disk) {
-            if half && !no_sync {
-                save(disk, batch);
-            }
+        if let Some((_, job)) = node.writing.take().filter(|_| half && !no_sync) {
+            node.save(job);
         }
         node.up = false;
-        node.member = None;
+        node.peer = None;
         node.inbox.clear();
         node.calls.clear();
     }
@@ -188,22 +193,17 @@
         }
     }
 
-    fn post(&mut self, from: usize, to: usize, message: Message) {
+    fn post(&mut self, from: usize, to: usize, frame: Frame) {
+        let id = self.nodes[from].member().map_or(0, Member::id);
         self.sent.0 += 1;
-        if let Message::Raft(m) = &message {
-            self.sent.1 += Frame::Raft(*m.clone()).bytes().len() as u64;
-        }
+        self.sent.1 += frame.bytes().len() as u64;
         if self.cut.contains(&(from, to)) || self.rand.rand_range(0..100) < self.drops {
             return;
         }
         let delay = self.delay_ms.0 + self.rand.rand_float() * (self.delay_ms.1 - self.delay_ms.0);
         self.number += 1;
-        self.net.insert((((self.now + delay) * 1e3) as u64, self.number), (to, message));
-    }
-
-    /// Which node holds an incarnation, by the disks.
-    fn holder(&self, id: u64) -> Option<usize> {
-        self.nodes.iter().position(|n| n.member.as_ref().is_some_and(|m| m.id() == id))
+        let at = ((self.now + delay) * 1e3) as u64;
+        self.net.insert((at, self.number), (from, to, id, frame));
     }
 
     /// Lets time go by.
@@ -215,9 +215,9 @@
                 if key.0 as f64 > self.now * 1e3 {
                     break;
                 }
-                let (to, message) = self.net.pop_first().unwrap().1;
+                let (from, to, id, frame) = self.net.pop_first().unwrap().1;
                 if self.nodes[to].up {
-                    self.nodes[to].inbox.push(message);
+                    self.nodes[to].inbox.push((from, id, frame));
                 }
             }
             for i in 0..self.nodes.len() {
@@ -229,80 +229,39 @@
     }
 
     fn turn(&mut self, i: usize) {
-        let now = self.now;
-        if let Some((due, _)) = &self.nodes[i].writing {
-            if *due > now {
-                return;
-            }
-            let node = &mut self.nodes[i];
-            let (_, batch) = node.writing.take().unwrap();
-            save(node.disk.as_mut().unwrap(), batch);
-            if let Some(member) = &mut node.member {
-                member.written(now);
+        let (now, no_sync) = (self.now, self.planted == Planted::NoSync);
+        let node = &mut self.nodes[i];
+        if node.writing.as_ref().is_some_and(|(due, _)| *due <= now) {
+            let (_, job) = node.writing.take().unwrap();
+            node.save(job);
+            if !no_sync {
+                node.peer.as_mut().unwrap().done(now).unwrap();
             }
         }
-        if self.nodes[i].member.is_none() {
-            for message in std::mem::take(&mut self.nodes[i].inbox) {
-                if let Message::Admitted(group, id, nonce) = message {
-                    if nonce == self.nodes[i].nonce && self.nodes[i].disk.is_none() {
-                        self.nodes[i].disk = Some(Loaded::admitted(group, id));
-                        self.start(i);
-                    }
-                }
-            }
-            if self.nodes[i].member.is_none() && (now as u64).is_multiple_of(500) {
-                let nonce = self.nodes[i].nonce;
-                (0..self.nodes.len())
-                    .filter(|to| *to != i)
-                    .for_each(|to| self.post(i, to, Message::Join(i, nonce)));
-            }
-            return;
+        let peer = node.peer.as_mut().unwrap();
+        for (from, id, frame) in std::mem::take(&mut node.inbox) {
+            peer.hear(now, &name(from), id, frame);
         }
-        for message in std::mem::take(&mut self.nodes[i].inbox) {
-            let member = self.nodes[i].member.as_mut().unwrap();
-            match message {
-                Message::Raft(m) => member.hear(now, *m),
-                Message::Join(from, nonce) => {
-                    let group = member.state().group;
-                    let id = member.join(now, &name(from), nonce);
-                    if let Some(id) = id {
-                        self.post(i, from, Message::Admitted(group, id, nonce));
-                    }
-                }
-                Message::Admitted(..) => {}
+        peer.pass(now);
+        while node.writing.is_none() {
+            let Some(job) = peer.job(now) else { break };
+            let empty = job == Job::Write(Batch::default());
+            if !empty {
+                let ms = self.fsync_ms.0 + self.rand.rand_float() * (self.fsync_ms.1 - self.fsync_ms.0);
+                node.writing = Some((now + ms, job));
             }
-        }
-        self.nodes[i].member.as_mut().unwrap().pass(now);
-        self.settle(i);
-    }
-
-    fn settle(&mut self, i: usize) {
-        let now = self.now;
-        let no_sync = self.planted == Planted::NoSync;
-        while let Some(batch) = self.nodes[i].member.as_mut().and_then(Member::batch) {
-            if batch.is_empty() {
-                self.nodes[i].member.as_mut().unwrap().written(now);
-                continue;
-            }
-            let ms = self.fsync_ms.0 + self.rand.rand_float() * (self.fsync_ms.1 - self.fsync_ms.0);
-            self.nodes[i].writing = Some((now + ms, batch));
-            if no_sync {
-                self.nodes[i].member.as_mut().unwrap().written(now);
+            if empty || no_sync {
+                peer.done(now).unwrap();
             }
-            break;
         }
-        let Some(member) = &mut self.nodes[i].member else { return };
-        let (messages, events, lost) = (member.messages(), member.events(), member.lost());
-        if lost.is_some() {
-            self.nodes[i].lost = true;
-            self.kill(i);
-            return;
+        let events = peer.member_mut().map(Member::events).unwrap_or_default();
+        let frames = peer.frames(now);
+        if peer.member().is_some_and(|m| m.lost().is_some()) {
+            node.lost = true;
+            return self.kill(i);
         }
-        for message in messages {
-            match self.holder(message.to) {
-                Some(to) => self.post(i, to, Message::Raft(Box::new(message))),
-                None => self.sent.0 += 1,
-            }
+        for (to, frame) in frames {
+            self.post(i, to[1..].parse().unwrap(), frame);
         }
         for event in events {
             self.note(i, event);
@@ -327,7 +286,7 @@
         };
         let Some(seen) = self.nodes[i].calls.remove(&number).filter(|_| done) else { return };
         if let What::Read(held) = &mut self.seen[seen].what {
-            let state = self.nodes[i].member.as_ref().unwrap().state();
+            let state = self.nodes[i].member().unwrap().state();
             *held = Some(state.out.keys().cloned().collect());
         }
         self.seen[seen].ended.get_or_insert(self.now);
@@ -336,7 +295,9 @@
     /// A call at one member; its place in the record.
     pub fn call(&mut self, i: usize, what: What) -> Result<usize, Standing> {
         let now = self.now;
-        let Some(member) = &mut self.nodes[i].member else { return Err(Standing::NoMajority(0.0)) };
+        let Some(member) = self.nodes[i].peer.as_mut().and_then(Peer::member_mut) else {
+            return Err(Standing::NoMajority(0.0));
+        };
         let number = match &what {
             What::Suspend(name) => member.ask(now, Wish::Suspend(name.clone()))?,
             What::Restore(name) => member.ask(now, Wish::Restore(name.clone()))?,
@@ -350,9 +311,9 @@
     }
 
     pub fn leader(&self) -> Option<usize> {
-        let leads = |n: &Node| n.member.as_ref().is_some_and(Member::leads);
+        let leads = |n: &Node| n.member().is_some_and(Member::leads);
         (0..self.nodes.len()).filter(|i| leads(&self.nodes[*i])).max_by_key(|i| {
-            let status = self.nodes[*i].member.as_ref().unwrap().status(self.now);
+            let status = self.nodes[*i].member().unwrap().status(self.now);
             status.term
         })
     }
@@ -363,7 +324,7 @@
         while !so(self) {
             if self.now - began >= most_ms {
                 self.nodes.iter().for_each(|n| {
-                    let status = n.member.as_ref().map(|m| m.status(self.now));
+                    let status = n.member().map(|m| m.status(self.now));
                     println!("{} up={} lost={} {status:?}", n.name, n.up, n.lost);
                 });
                 panic!("seed {}: nothing in {most_ms} ms", self.seed);
@@ -376,9 +337,9 @@
     /// Whether every member votes and somebody leads.
     pub fn whole(&self) -> bool {
         let wanted = self.nodes.len();
-        self.leader().is_some_and(|l| self.nodes[l].member.as_ref().unwrap().voters() == wanted)
+        self.leader().is_some_and(|l| self.nodes[l].member().unwrap().voters() == wanted)
             && self.nodes.iter().all(|n| {
-                n.member.as_ref().is_some_and(|m| {
+                n.member().is_some_and(|m| {
                     m.voters() == wanted && m.leader().is_some() && m.state().wanted().contains(&m.id())
                 })
             })
--- a/src/group/engine.rs
+++ b/src/group/engine.rs
@@ -3,9 +3,9 @@
 //! group agrees on, or go on as a member once its disk has failed.
 
 use super::links::{listen, Counts, Link, News, Own};
-use super::store::{Identity, Store, FORMAT};
+use super::store::{Identity, Store, StoreError, FORMAT};
 use super::{fresh, Ended, GroupSettings, Request, Seat, View};
-use driftgap_group::{Event, Frame, Loaded, Member, Settings, Standing, Wish};
+use driftgap_group::{Batch, Event, Job, Loaded, Member, Outcome, Peer, Settings, Standing, Wish};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,33 +15,50 @@
 
 /// How often time is told to the member.
 const TICK: Duration = Duration::from_millis(25);
-/// A member with an empty folder asks this often to be let in, ms.
-const JOIN_MS: f64 = 500.0;
+/// A leader whose disk has not done a job for so long gives leadership away, ms.
+const HANGS_MS: f64 = 1500.0;
 /// Figures are logged this often, ms.
 const FIGURES_MS: f64 = 10_000.0;
 /// Frames taken in before the disk is written, so that one write serves many.
 const MOST_AT_ONCE: usize = 256;
 
+/// The disk's thread: it may hang for as long as it likes, and the member goes on listening.
+fn keep(mut store: Store, name: String, jobs: std::sync::mpsc::Receiver<Job>, done: mpsc::Sender<Wrote>) {
+    for job in jobs {
+        let result = match job {
+            Job::Begin { group, id, nonce } => {
+                let identity = Identity { format: FORMAT, group, name: name.clone(), id, nonce };
+                store.begin(&identity, &Loaded::admitted(group, id))
+            }
+            Job::Write(batch) => store.write(&batch),
+        };
+        if done.blocking_send(result).is_err() {
+            return;
+        }
+    }
+}
+
+type Wrote = Result<(), StoreError>;
+
 enum Place {
-    /// An empty folder, told from every other by this.
-    Waiting(u64),
-    Sitting(Box<Member>),
+    In(Box<Peer>),
     Lost(String),
 }
 
 pub(super) struct Engine {
     settings: GroupSettings,
-    store: Store,
+    disk: std::sync::mpsc::Sender<Job>,
+    /// Jobs that the disk has done.
+    wrote: mpsc::Receiver<Wrote>,
+    /// Since when it has one to do.
+    writing: Option<f64>,
     place: Place,
     who: Rc<Own>,
     counts: Rc<Counts>,
     links: BTreeMap<String, Rc<Link>>,
-    /// Names by incarnation, as links have said them.
-    names: BTreeMap<u64, String>,
     view: watch::Sender<View>,
     waiting: BTreeMap<u64, (oneshot::Sender<Ended>, Instant)>,
     began: Instant,
-    joined: f64,
     logged: f64,
     led_by: Option<Option<String>>,
     /// How long promises took, ms.
@@ -55,53 +72,72 @@
         store: Store,
         identity: Option<Identity>,
         view: watch::Sender<View>,
-    ) -> Engine {
+    ) -> std::io::Result<Engine> {
+        let loaded = identity.map(|_| store.load());
+        let (disk, jobs) = std::sync::mpsc::channel();
+        let (done, wrote) = mpsc::channel(4);
+        std::thread::Builder::new().name("group-disk".into()).spawn({
+            let name = name.clone();
+            move || keep(store, name, jobs, done)
+        })?;
         let who = Own { name, ..Own::default() };
         let mut engine = Engine {
             settings,
-            store,
-            place: Place::Waiting(fresh()),
+            disk,
+            wrote,
+            writing: None,
+            place: Place::Lost(String::new()),
             who: Rc::new(who),
             counts: Rc::default(),
             links: BTreeMap::new(),
-            names: BTreeMap::new(),
             view,
             waiting: BTreeMap::new(),
             began: Instant::now(),
-            joined: 0.0,
             logged: 0.0,
             led_by: None,
             promises: Vec::new(),
         };
-        if identity.is_some() {
-            match engine.store.load() {
-                Ok(loaded) => engine.sit(loaded),
-                Err(e) => engine.lose(format!("its folder cannot be used: {e}")),
+        let settings = Settings::new(&engine.who.name, fresh(), engine.settings.texts());
+        match loaded {
+            Some(Ok(loaded)) => {
+                let (group, id, entries) = (loaded.group, loaded.id, loaded.entries.len());
+                match Peer::sitting(settings, loaded, 0.0) {
+                    Ok(peer) => {
+                        tracing::info!(group = format!("{group:x}"), id, entries, "member of the group");
+                        engine.place = Place::In(Box::new(peer));
+                    }
+                    Err(e) => engine.lose(format!("its folder cannot be used: {e}")),
+                }
+            }
+            Some(Err(e)) => engine.lose(format!("its folder cannot be used: {e}")),
+            None => {
+                tracing::info!("the folder is empty: asks to be let into the group");
+                engine.place = Place::In(Box::new(Peer::waiting(settings, fresh())));
             }
-        } else {
-            tracing::info!("the folder is empty: asks to be let into the group");
         }
-        engine
+        engine.greet_as();
+        Ok(engine)
     }
 
-    fn now(&self) -> f64 {
-        self.began.elapsed().as_secs_f64() * 1e3
+    /// Links greet as the member that this is now.
+    fn greet_as(&self) {
+        if let Some(member) = self.member() {
+            self.who.group.set(member.group());
+            self.who.id.set(member.id());
+        }
     }
 
-    fn sit(&mut self, loaded: Loaded) {
-        let settings = Settings::new(&self.who.name, fresh(), self.settings.texts());
-        let (group, id, entries) = (loaded.group, loaded.id, loaded.entries.len());
-        self.who.group.set(group);
-        self.who.id.set(id);
-        match Member::new(settings, loaded, self.now()) {
-            Ok(member) => {
-                tracing::info!(group = format!("{group:x}"), id, entries, "member of the group");
-                self.place = Place::Sitting(Box::new(member));
-            }
-            Err(e) => self.lose(format!("its folder cannot be used: {e}")),
+    fn member(&self) -> Option<&Member> {
+        match &self.place {
+            Place::In(peer) => peer.member(),
+            Place::Lost(_) => None,
         }
     }
 
+    fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64() * 1e3
+    }
+
     /// It votes no more: what it says could be wrong.
     fn lose(&mut self, why: String) {
         tracing::error!(why, "this member votes no more; commands are served on");
@@ -119,13 +155,7 @@
         let (news, mut heard) = mpsc::channel(1024);
         let listener = tokio::net::TcpListener::from_std(listener)?;
         tokio::task::spawn_local(listen(listener, self.who.clone(), news.clone(), self.counts.clone()));
-        for (name, address) in self.settings.members.clone() {
-            if name != self.who.name {
-                let link =
-                    Link::keep(self.who.clone(), name.clone(), address, news.clone(), self.counts.clone());
-                self.links.insert(name, link);
-            }
-        }
+        self.keep_links(&news);
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -133,6 +163,7 @@
             tokio::select! {
                 _ = tick.tick() => {}
                 Some(news) = heard.recv() => self.take(news),
+                Some(done) = self.wrote.recv() => self.wrote(done),
                 request = asked.recv() => match request {
                     Some(request) => requests.push(request),
                     None => return Ok(()),
@@ -151,81 +182,93 @@
                 self.answer(request);
             }
             self.pass();
-            self.settle();
+            if self.settle() {
+                self.keep_links(&news);
+            }
+        }
+    }
+
+    /// A link to everybody who is in the group or awaited, and to nobody else.
+    fn keep_links(&mut self, news: &mpsc::Sender<News>) {
+        let Place::In(peer) = &self.place else { return };
+        let others = peer.others();
+        self.links.retain(|name, link| {
+            let stays = others.contains_key(name);
+            if !stays {
+                link.end();
+            }
+            stays
+        });
+        for (name, address) in others {
+            let Ok(address) = address.parse() else { continue };
+            self.links.entry(name.clone()).or_insert_with(|| {
+                Link::keep(self.who.clone(), name, address, news.clone(), self.counts.clone())
+            });
+        }
+    }
+
+    /// The disk has done its job, or failed.
+    fn wrote(&mut self, done: Wrote) {
+        let now = self.now();
+        self.writing = None;
+        let Place::In(peer) = &mut self.place else { return };
+        let new = peer.member().is_none();
+        let done = match done {
+            Ok(()) => peer.done(now).map_err(|e| format!("its folder cannot be used: {e}")),
+            Err(e) => Err(format!("its disk has failed: {e}")),
+        };
+        match done {
+            Ok(()) if new => {
+                self.greet_as();
+                tracing::info!(id = self.who.id.get(), "let into the group");
+            }
+            Ok(()) => {}
+            Err(why) => self.lose(why),
         }
     }
 
     fn take(&mut self, news: News) {
         let now = self.now();
+        let Place::In(peer) = &mut self.place else { return };
         match news {
-            News::Frame(name, id, frame) => {
-                if id != 0 {
-                    self.names.insert(id, name.clone());
-                }
-                match (*frame, &mut self.place) {
-                    (Frame::Raft(message), Place::Sitting(member)) => member.hear(now, message),
-                    (Frame::Join { nonce }, Place::Sitting(member)) => {
-                        let group = member.state().group;
-                        if let Some(id) = member.join(now, &name, nonce) {
-                            if let Some(link) = self.links.get(&name) {
-                                link.send(&Frame::Admitted { group, id, nonce });
-                            }
-                        }
-                    }
-                    (Frame::Admitted { group, id, nonce }, Place::Waiting(ours)) if nonce == *ours => {
-                        let loaded = Loaded::admitted(group, id);
-                        let name = self.who.name.clone();
-                        let identity = Identity { format: FORMAT, group, name, id, nonce };
-                        match self.store.begin(&identity, &loaded) {
-                            Ok(()) => self.sit(loaded),
-                            Err(e) => self.lose(format!("its folder cannot be written: {e}")),
-                        }
-                    }
-                    _ => {}
-                }
-            }
-            News::Broken(name) => {
-                if let Place::Sitting(member) = &mut self.place {
-                    if let Some((id, _)) = member.state().incarnation(&name) {
-                        member.unreachable(id);
-                    }
-                }
-            }
+            News::Frame(name, id, frame) => peer.hear(now, &name, id, *frame),
+            News::Broken(name) => peer.broken(&name),
         }
     }
 
     fn answer(&mut self, request: Request) {
         let now = self.now();
-        match (request, &mut self.place) {
-            (Request::Seat(answer), place) => {
-                let _ = answer.send(match place {
-                    Place::Waiting(_) => Seat::Waiting,
-                    Place::Sitting(member) => Seat::Member(Box::new(member.status(now))),
-                    Place::Lost(why) => Seat::Lost(why.clone()),
+        let member = match &mut self.place {
+            Place::In(peer) => peer.member_mut().ok_or(None),
+            Place::Lost(why) => Err(Some(why.clone())),
+        };
+        match (request, member) {
+            (Request::Seat(answer), member) => {
+                let _ = answer.send(match member {
+                    Ok(member) => Seat::Member(Box::new(member.status(now))),
+                    Err(None) => Seat::Waiting,
+                    Err(Some(why)) => Seat::Lost(why),
                 });
             }
-            (Request::Leave(answer), place) => {
-                if let Place::Sitting(member) = place {
+            (Request::Leave(answer), member) => {
+                if let Ok(member) = member {
                     member.step_down();
                 }
                 let _ = answer.send(());
             }
-            (Request::Wish(wish, answer), Place::Sitting(member)) => {
+            (Request::Wish(wish, answer), Ok(member)) => {
                 let number = match wish {
-                    Wish::Admit { .. } | Wish::Remove(_) => member.change(now, wish),
+                    Wish::Invite { .. } | Wish::Remove(_) => member.change(now, wish),
                     wish => member.ask(now, wish),
                 };
                 self.await_end(number, answer);
             }
-            (Request::Read(answer), Place::Sitting(member)) => {
+            (Request::Read(answer), Ok(member)) => {
                 let number = member.read(now);
                 self.await_end(number, answer);
             }
-            (Request::Wish(_, answer) | Request::Read(answer), place) => {
-                let why = match place {
-                    Place::Lost(why) => why.clone(),
-                    _ => "this ingress has not been let into the group yet".into(),
-                };
+            (Request::Wish(_, answer) | Request::Read(answer), Err(why)) => {
+                let why = why.unwrap_or_else(|| "this ingress has not been let into the group yet".into());
                 let _ = answer.send(Ended::Refused(why));
             }
         }
@@ -245,16 +288,14 @@
     /// Time goes by.
     fn pass(&mut self) {
         let now = self.now();
-        match &mut self.place {
-            Place::Sitting(member) => member.pass(now),
-            Place::Waiting(nonce) if now - self.joined > JOIN_MS => {
-                self.joined = now;
-                let frame = Frame::Join { nonce: *nonce };
-                self.links.values().for_each(|link| {
-                    link.send(&frame);
-                });
+        if let Place::In(peer) = &mut self.place {
+            peer.pass(now);
+            // What its disk does not take its calls wait for; another one leads without that.
+            let hangs = self.writing.is_some_and(|since| now - since > HANGS_MS);
+            if let Some(member) = peer.member_mut().filter(|m| hangs && m.leads()) {
+                tracing::warn!("the disk hangs: gives leadership away");
+                member.step_down();
             }
-            _ => {}
         }
         if now - self.logged > FIGURES_MS {
             self.logged = now;
@@ -262,31 +303,35 @@
         }
     }
 
-    /// Writes what has to be written, then lets out what follows from it.
-    fn settle(&mut self) {
+    /// Has written what has to be, and lets out what follows from that. True: who is in the group may have changed.
+    fn settle(&mut self) -> bool {
         let now = self.now();
-        let Place::Sitting(member) = &mut self.place else { return };
-        while let Some(batch) = member.batch() {
-            if !batch.is_empty() {
-                if let Err(e) = self.store.write(&batch) {
-                    return self.lose(format!("its disk has failed: {e}"));
-                }
+        let Place::In(peer) = &mut self.place else { return false };
+        while self.writing.is_none() {
+            let Some(job) = peer.job(now) else { break };
+            if job == Job::Write(Batch::default()) {
+                let _ = peer.done(now);
+            } else if self.disk.send(job).is_ok() {
+                self.writing = Some(now);
+            } else {
+                self.lose("its disk's thread has ended".into());
+                return false;
             }
-            member.written(now);
-        }
-        if let Some(lost) = member.lost() {
-            return self.lose(lost.to_string());
         }
-        for message in member.messages() {
-            let name = member.state().members.get(&message.to).map(|m| m.name.as_str());
-            let name = name.or_else(|| self.names.get(&message.to).map(String::as_str));
-            if let Some(link) = name.and_then(|name| self.links.get(name)) {
-                link.send(&Frame::Raft(message));
+        for (to, frame) in peer.frames(now) {
+            if let Some(link) = self.links.get(&to) {
+                link.send(&frame);
             }
         }
+        let Some(member) = peer.member_mut() else { return false };
+        if let Some(lost) = member.lost() {
+            self.lose(lost.to_string());
+            return false;
+        }
         let events = member.events();
-        if events.contains(&Event::Changed) {
-            let applied = member.status(now).applied;
+        let changed = events.contains(&Event::Changed);
+        if changed {
+            let applied = member.applied();
             let held = self.view.borrow().out.clone();
             let same = held.iter().eq(member.state().out.keys());
             let out = if same { held } else { Arc::new(member.state().out.keys().cloned().collect()) };
@@ -295,9 +340,7 @@
         for event in events {
             let (number, ended) = match event {
                 Event::Done(number, outcome) => (number, Ended::Done(outcome, self.view.borrow().clone())),
-                Event::Read(number) => {
-                    (number, Ended::Done(driftgap_group::Outcome::Done, self.view.borrow().clone()))
-                }
+                Event::Read(number) => (number, Ended::Done(Outcome::Done, self.view.borrow().clone())),
                 Event::Expired(number, true) => (number, Ended::Open),
                 Event::Expired(number, false) => (number, Ended::Refused("no leader in time".into())),
                 Event::Changed => continue,
@@ -310,10 +353,11 @@
             }
         }
         self.note_leader(now);
+        changed
     }
 
     fn note_leader(&mut self, now: f64) {
-        let Place::Sitting(member) = &self.place else { return };
+        let Some(member) = self.member() else { return };
         let status = member.status(now);
         if self.led_by.as_ref() != Some(&status.leader) {
             match &status.leader {
@@ -325,7 +369,7 @@
     }
 
     fn log_figures(&mut self, now: f64) {
-        let Place::Sitting(member) = &self.place else { return };
+        let Some(member) = self.member() else { return };
         let status = member.status(now);
         let lags: Vec<String> =
             status.members.iter().filter_map(|m| m.lag.map(|lag| format!("{}={lag}", m.name))).collect();
--- a/src/group/links.rs
+++ b/src/group/links.rs
@@ -3,14 +3,14 @@
 //! who has not said who it is, or let one link's trouble reach another.
 
 use driftgap_group::{read_frame, Frame, Hello, Welcome, MOST_FRAME, MOST_HELLO};
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, Notify};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout, Instant};
 
 /// A peer has so long for its greeting, for the rest of what it has begun, and to read what it is sent.
@@ -56,6 +56,7 @@
 
 /// The way to one member.
 pub(super) struct Link {
+    task: OnceCell<AbortHandle>,
     queue: RefCell<Vec<u8>>,
     more: Notify,
     up: Cell<bool>,
@@ -89,10 +90,15 @@
         news: mpsc::Sender<News>,
         counts: Rc<Counts>,
     ) -> Rc<Link> {
-        let link =
-            Rc::new(Link { queue: RefCell::default(), more: Notify::new(), up: Cell::new(false), counts });
+        let link = Rc::new(Link {
+            task: OnceCell::new(),
+            queue: RefCell::default(),
+            more: Notify::new(),
+            up: Cell::new(false),
+            counts,
+        });
         let kept = link.clone();
-        spawn_local(async move {
+        let task = spawn_local(async move {
             let mut pause = AGAIN.0;
             loop {
                 let began = Instant::now();
@@ -107,9 +113,17 @@
                 sleep(pause).await;
             }
         });
+        let _ = link.task.set(task.abort_handle());
         link
     }
 
+    /// Ends it: the member is none any more.
+    pub(super) fn end(&self) {
+        if let Some(task) = self.task.get() {
+            task.abort();
+        }
+    }
+
     async fn carry(&self, who: &Own, to: &str, address: SocketAddr) -> Result<(), String> {
         let connect = timeout(PATIENCE, TcpStream::connect(address)).await;
         let mut stream = connect.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
@@ -231,17 +245,16 @@
             used += n;
             let names = match &frame {
                 Frame::Raft(m) => hello.id != 0 && m.from == hello.id,
-                Frame::Admitted { .. } | Frame::Round(_) | Frame::Hears(_) => hello.id != 0,
+                Frame::Admitted { .. } | Frame::Hears { .. } => hello.id != 0,
+                Frame::Round(_) | Frame::Passed(_) => hello.id != 0,
                 Frame::Join { .. } | Frame::Idle => true,
             };
             if !names {
                 return Err("speaks in another's name".into());
             }
-            if frame != Frame::Idle {
-                let news_of = News::Frame(hello.name.clone(), hello.id, Box::new(frame));
-                if news.send(news_of).await.is_err() {
-                    return Ok(());
-                }
+            let frame = News::Frame(hello.name.clone(), hello.id, Box::new(frame));
+            if news.send(frame).await.is_err() {
+                return Ok(());
             }
         }
         if used > 0 {
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -226,7 +226,7 @@
             let runtime =
                 tokio::runtime::Builder::new_current_thread().enable_all().build_local(Default::default())?;
             runtime.block_on(async {
-                let engine = Engine::new(settings, name, store, identity, viewed);
+                let engine = Engine::new(settings, name, store, identity, viewed)?;
                 engine.run(listener, asked).await
             })
         });
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -38,3 +38,129 @@
          served 2 k1",
     );
 }
+
+#[test]
+fn a_leader_that_is_cut_off_promises_nothing_and_hears_of_it_once_it_is_back() {
+    play(
+        3,
+        "start 0 1 2
+         whole 0 1 2
+         call 0 ACK SUSPEND a
+         split leader
+         says 0 leader
+         call 1 ACK STATUS
+         heal
+         led 0 1 2
+         call 0 ACK SUSPEND b
+         out 0 a b
+         out 1 a b
+         out 2 a b",
+    );
+}
+
+#[test]
+fn a_chain_of_members_goes_on_and_the_one_at_its_end_hears_all() {
+    play(
+        3,
+        "start 0 1 2
+         whole 0 1 2
+         cut 0 2
+         cut 2 0
+         call 0 ACK SUSPEND a
+         call 1 ACK SUSPEND b
+         call 2 ACK SUSPEND c
+         out 0 a b c
+         out 1 a b c
+         out 2 a b c",
+    );
+}
+
+#[test]
+fn without_a_majority_nothing_is_promised_and_commands_are_served() {
+    play(
+        3,
+        "start 0 1 2
+         whole 0 1 2
+         call 0 ACK SUSPEND a
+         kill 1
+         kill 2
+         says 0 leader=none
+         served 0 k1
+         call 0 NAK SUSPEND b
+         call 0 NAK GROUP OUT
+         call 0 ACK SUSPEND b HERE
+         call 0 ACK STATUS
+         start 1 2
+         whole 0 1 2
+         out 1 a
+         call 2 ACK RESTORE a
+         out 0",
+    );
+}
+
+#[test]
+fn all_killed_at_once_and_started_again_keep_every_promise() {
+    play(
+        3,
+        "start 0 1 2
+         whole 0 1 2
+         call 0 ACK SUSPEND a
+         call 1 ACK SUSPEND b
+         kill 0
+         kill 1
+         kill 2
+         start 0 1 2
+         led 0 1 2
+         out 2 a b
+         out 0 a b",
+    );
+}
+
+#[test]
+fn a_lost_member_is_not_let_in_while_another_is_down() {
+    play(
+        3,
+        "start 0 1 2
+         whole 0 1 2
+         call 0 ACK SUSPEND a
+         kill 1
+         kill 2
+         wipe 2
+         start 2
+         says 2 not in the group yet
+         says 0 leader=none
+         call 2 NAK SUSPEND b
+         call 0 NAK SUSPEND b
+         start 1
+         whole 0 1 2
+         out 2 a",
+    );
+}
+
+#[test]
+fn a_leader_that_was_frozen_wakes_as_no_leader() {
+    play(
+        3,
+        "start 0 1 2
+         whole 0 1 2
+         call 0 ACK SUSPEND a
+         freeze 0
+         call 1 ACK SUSPEND b
+         call 2 ACK RESTORE a
+         thaw 0
+         out 0 b
+         led 0 1 2",
+    );
+}
+
+#[test]
+fn folders_that_are_not_this_members_and_second_processes_are_refused() {
+    play(
+        3,
+        "start 0
+         refused 0 another process uses this folder
+         kill 0
+         swap 0 1
+         refused 1 the folder of member m0, not of m1",
+    );
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -18,6 +18,7 @@
 //!     torn P Q                    the link from P to Q is reset in the middle of what it carries next
 //!     heal                        every link is as it should be
 //!     refused P TEXT              starting P fails with status 2 and one line that holds the text
+//!     swap P Q                    P's folder is put in the place of Q's
 //!     served P K                  a command at P is answered with a value
 #![allow(dead_code)]
 
@@ -369,6 +370,9 @@
             "freeze" => self.signal(ids[0], "-STOP"),
             "thaw" => self.signal(ids[0], "-CONT"),
             "wipe" => std::fs::remove_dir_all(self.home(ids[0]).join("group")).unwrap(),
+            "swap" => {
+                std::fs::rename(self.home(ids[0]).join("group"), self.home(ids[1]).join("group")).unwrap()
+            }
             "cut" => self.set_link(ids[0], ids[1], Link::Cut),
             "mute" => self.set_link(ids[0], ids[1], Link::Mute),
             "torn" => self.set_link(ids[0], ids[1], Link::Torn),
