--- a/crates/group/tests/promises.rs
+++ b/crates/group/tests/promises.rs
@@ -96,6 +96,11 @@
             }
             9 if world.nodes[i].up => world.kill(i),
             10 => (0..members).for_each(|i| world.kill(i)),
+            // For the fault that shows only when all lose their power at once.
+            16..=18 if planted == Planted::NoSync => {
+                (0..members).for_each(|i| world.kill(i));
+                (0..members).for_each(|i| world.start(i));
+            }
             11 | 12 => {
                 let down: Vec<usize> = (0..members).filter(|i| !world.nodes[*i].up).collect();
                 down.into_iter().for_each(|i| world.start(i));
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -49,11 +49,15 @@
     pub fn judge_for(&self, name: &str) -> Result<(), GroupError> {
         if self.members.contains_key(name) {
             self.folder(name)?;
-            self.listen.ok_or_else(|| GroupError::Missing("listen", name.into()))?;
+            self.listen_of(name)?;
         }
         Ok(())
     }
 
+    fn listen_of(&self, name: &str) -> Result<SocketAddr, GroupError> {
+        self.listen.ok_or_else(|| GroupError::Missing("listen", name.into()))
+    }
+
     /// A member's folder.
     fn folder(&self, name: &str) -> Result<&Path, GroupError> {
         if !self.members.contains_key(name) {
@@ -332,7 +336,7 @@
         true => {
             let store = Store::open(&folder.join(settings.folder(name)?))?;
             let identity = store.identity(name)?;
-            let listen = settings.listen.ok_or_else(|| GroupError::Missing("listen", name.into()))?;
+            let listen = settings.listen_of(name)?;
             let listener = std::net::TcpListener::bind(listen).map_err(|e| GroupError::Listen(listen, e))?;
             listener.set_nonblocking(true)?;
             Some((store, identity, listener))
