One piece for where staff call, events for followers, and what records are judged by

Read once more, behaviour as before. main.rs: the address that EDGE_OPERATOR gives in place of the configuration's was worked out twice, by the start and by the calls of driftgap group; now operators_address serves both. peer.rs: events were gathered and sorted for followers in two places; now sort_events. The one machine by which recorded histories are judged stood in both tests of the promise; now crates/group/tests/one_machine serves both, with the same draws and assertions. Left: the schedules of tests/group.rs that begin alike, and the two forms of a change of members in member.rs, of which the library writes one.

--- a/crates/group/src/peer.rs
+++ b/crates/group/src/peer.rs
@@ -241,9 +241,8 @@
 
     /// What is to be sent to followers, by their connections. Takes from the events those that they wait for.
     pub fn to_followers(&mut self, now: f64) -> Vec<(u64, Frame)> {
-        if let Place::Sitting(member) = &mut self.place {
-            self.events.append(&mut member.events());
-            self.fans.take(now, &mut self.events, member);
+        self.sort_events(now);
+        if let Place::Sitting(member) = &self.place {
             self.fans.tell(now, None, member);
         }
         self.fans.frames()
@@ -251,11 +250,16 @@
 
     /// What has happened, apart from what followers waited for.
     pub fn events(&mut self, now: f64) -> Vec<Event> {
+        self.sort_events(now);
+        std::mem::take(&mut self.events)
+    }
+
+    /// Gives followers what they wait for, and keeps the rest.
+    fn sort_events(&mut self, now: f64) {
         if let Place::Sitting(member) = &mut self.place {
             self.events.append(&mut member.events());
             self.fans.take(now, &mut self.events, member);
         }
-        std::mem::take(&mut self.events)
     }
 
     /// What is to be sent, and to whom.
--- a/crates/group/tests/promises.rs
+++ b/crates/group/tests/promises.rs
@@ -2,42 +2,14 @@
 //! machine could have given (linearizable), and every call that was answered with a yes must be there at the end. Faults
 //! that are built in must be found.
 
+mod one_machine;
 mod world;
 
+use one_machine::{OneMachine, Op, Said};
 use oorandom::Rand64;
-use stateright::semantics::{ConsistencyTester, LinearizabilityTester, SequentialSpec};
-use std::collections::BTreeSet;
+use stateright::semantics::{ConsistencyTester, LinearizabilityTester};
 use world::{Planted, Seen, What, World};
 
-/// What one machine would do.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct OneMachine(BTreeSet<String>);
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Said {
-    Changed(bool),
-    Held(BTreeSet<String>),
-}
-
-impl SequentialSpec for OneMachine {
-    type Op = Op;
-    type Ret = Said;
-    fn invoke(&mut self, op: &Op) -> Said {
-        match op {
-            Op::Suspend(name) => Said::Changed(self.0.insert(name.clone())),
-            Op::Restore(name) => Said::Changed(self.0.remove(name)),
-            Op::Read => Said::Held(self.0.clone()),
-        }
-    }
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Op {
-    Suspend(String),
-    Restore(String),
-    Read,
-}
-
 /// Whether one machine could have given this record.
 fn linearizable(seen: &[Seen]) -> bool {
     // A call that ends in the moment in which another begins counts as beside it.
--- a/src/main.rs
+++ b/src/main.rs
@@ -128,6 +128,15 @@
     }
 }
 
+/// Where staff call the ingress of this configuration. The second of two processes may be told another address by its
+/// environment alone.
+fn operators_address(config: &Config) -> Result<Option<SocketAddr>, String> {
+    match text("EDGE_OPERATOR")? {
+        Some(calls) => address_of("EDGE_OPERATOR", &calls).map(Some).map_err(|e| e.to_string()),
+        None => Ok(config.operator),
+    }
+}
+
 /// A descriptor of our own for the listening socket that the platform holds and hands to every process.
 fn adopt(number: &str) -> Result<Socket, String> {
     let number = number.parse::<RawFd>().ok().filter(|n| *n > 2);
@@ -145,11 +154,7 @@
     let signals = Signals::listen().map_err(|e| e.to_string())?;
     let path = config.ok_or("EDGE_CONFIG: not set")?;
     let mut config = Config::read(&path).map_err(|e| format!("EDGE_CONFIG: {e}"))?;
-    if let Some(calls) = text("EDGE_OPERATOR")? {
-        // The second of two processes may be told another address by its environment alone.
-        let address = address_of("EDGE_OPERATOR", &calls).map_err(|e| e.to_string())?;
-        config.operator = Some(address);
-    }
+    config.operator = operators_address(&config)?;
     let clients = text("EDGE_ACCEPT_FD")?.map(|number| adopt(&number)).transpose();
     let clients = clients.map_err(|e| format!("EDGE_ACCEPT_FD: {e}"))?;
     let operator = match operator {
@@ -190,10 +195,8 @@
 
 /// One call to the running ingress of this configuration; its answer.
 fn call(config: &Config, text: &str) -> Result<String, String> {
-    let address = match text_of_operator(config)? {
-        Some(address) => address,
-        None => return Err("EDGE_CONFIG: operator: not set; a running ingress is called there".into()),
-    };
+    let address = operators_address(config)?
+        .ok_or("EDGE_CONFIG: operator: not set; a running ingress is called there")?;
     let asked = || -> std::io::Result<String> {
         let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(3))?;
         stream.set_read_timeout(Some(Duration::from_secs(6)))?;
@@ -205,13 +208,6 @@
     asked().map_err(|e| format!("{address}: {e}"))
 }
 
-fn text_of_operator(config: &Config) -> Result<Option<SocketAddr>, String> {
-    match text("EDGE_OPERATOR")? {
-        Some(calls) => address_of("EDGE_OPERATOR", &calls).map(Some).map_err(|e| e.to_string()),
-        None => Ok(config.operator),
-    }
-}
-
 /// What concerns the group; whether the answer is a yes, and the answer.
 fn group(
     config: Option<PathBuf>,
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -1,9 +1,12 @@
 //! Several processes of the program in a group, with faults between them. Schedules in the peers' language.
 
+#[path = "../crates/group/tests/one_machine/mod.rs"]
+mod one_machine;
 mod peers;
 
+use one_machine::{OneMachine, Op, Said};
 use peers::{play, play_beside, run, Peers};
-use stateright::semantics::{ConsistencyTester, LinearizabilityTester, SequentialSpec};
+use stateright::semantics::{ConsistencyTester, LinearizabilityTester};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -444,35 +447,6 @@
     });
 }
 
-/// What one machine would do.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct OneMachine(BTreeSet<String>);
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Op {
-    Suspend(&'static str),
-    Restore(&'static str),
-    Read,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Said {
-    Changed(bool),
-    Held(BTreeSet<String>),
-}
-
-impl SequentialSpec for OneMachine {
-    type Op = Op;
-    type Ret = Said;
-    fn invoke(&mut self, op: &Op) -> Said {
-        match op {
-            Op::Suspend(name) => Said::Changed(self.0.insert(name.to_string())),
-            Op::Restore(name) => Said::Changed(self.0.remove(*name)),
-            Op::Read => Said::Held(self.0.clone()),
-        }
-    }
-}
-
 /// What an answer says; none: nothing that is certain.
 fn said(op: &Op, answer: &str) -> Option<Said> {
     let answer = answer.strip_prefix("ACK ")?;
@@ -500,9 +474,10 @@
     let (mut down, mut frozen): (Option<usize>, Option<usize>) = (None, None);
     for _ in 0..14 {
         for _ in 0..2 {
-            let op = [Op::Suspend("a"), Op::Restore("a"), Op::Suspend("b"), Op::Restore("b"), Op::Read]
-                [pick(5)]
-            .clone();
+            let (a, b) = ("a".to_string(), "b".to_string());
+            let ops =
+                [Op::Suspend(a.clone()), Op::Restore(a), Op::Suspend(b.clone()), Op::Restore(b), Op::Read];
+            let op = ops[pick(5)].clone();
             let text = match &op {
                 Op::Suspend(name) => format!("SUSPEND {name}"),
                 Op::Restore(name) => format!("RESTORE {name}"),
