--- a/crates/group/src/fans.rs
+++ b/crates/group/src/fans.rs
@@ -8,12 +8,16 @@
 
 /// A follower hears of its member this often at least, ms.
 const BEAT_MS: f64 = 500.0;
+/// A member that heard of its leader so lately is led, ms.
+const LED_MS: f64 = 400.0;
 
 struct Fan {
     /// The last change of the list that it was told.
     told: Option<u64>,
     documents: BTreeMap<Kind, u64>,
     beat: f64,
+    /// How old this member's copy was by then, ms.
+    age: f64,
 }
 
 /// All followers of this member, by connection.
@@ -30,7 +34,7 @@
     pub(crate) fn hear(&mut self, now: f64, from: u64, frame: Frame, member: &mut Member) {
         match frame {
             Frame::Follow { have } => {
-                let fan = Fan { told: None, documents: have.into_iter().collect(), beat: f64::MIN };
+                let fan = Fan { told: None, documents: have.into_iter().collect(), beat: f64::MIN, age: 0.0 };
                 self.fans.insert(from, fan);
             }
             Frame::Ask { op, made_at, wish } => {
@@ -102,6 +106,7 @@
         if member.applied() == 0 {
             return;
         }
+        let age_ms = member.age_ms(now);
         for (to, fan) in self.fans.iter_mut().filter(|(to, _)| only.is_none_or(|only| only == **to)) {
             let lacks = |kind: &Kind, number: u64| fan.documents.get(kind).is_none_or(|had| *had < number);
             let documents: Vec<_> = state
@@ -111,13 +116,15 @@
                 .map(|(kind, d)| (*kind, d.clone()))
                 .collect();
             let out = (fan.told != Some(state.changes)).then(|| state.out.keys().cloned().collect());
-            let due = now - fan.beat >= BEAT_MS || only.is_some();
+            // That it is led again they hear at once: they would leave it else.
+            let again = fan.age > LED_MS && age_ms < LED_MS;
+            let due = now - fan.beat >= BEAT_MS || only.is_some() || again;
             if !due && out.is_none() && documents.is_empty() {
                 continue;
             }
-            (fan.beat, fan.told) = (now, Some(state.changes));
+            (fan.beat, fan.told, fan.age) = (now, Some(state.changes), age_ms);
             fan.documents.extend(documents.iter().map(|(kind, d)| (*kind, d.number)));
-            let (applied, age_ms) = (member.applied(), member.age_ms(now));
+            let applied = member.applied();
             self.frames.push((*to, Frame::Copy { applied, age_ms, out, documents }));
         }
     }
--- a/crates/group/src/follower.rs
+++ b/crates/group/src/follower.rs
@@ -4,6 +4,7 @@
 
 use crate::frame::{Answered, Frame};
 use crate::state::{Document, Kind, OpId, Wish};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::Hasher;
 
@@ -15,10 +16,17 @@
 const MOST_ASKS: usize = 256;
 /// A member that says nothing for so long is left for another one, ms.
 const SILENT_MS: f64 = 2000.0;
+/// So does one whose own copy is older than this, ms: longer than any change of leaders takes, and short enough for a
+/// promise given meanwhile to be heard from another member within 2 s.
+const OLD_MS: f64 = 1300.0;
+/// Where all members have old copies they are gone through again after this, at first and at most, ms.
+const ROUND_MS: (f64, f64) = (1000.0, 30_000.0);
 
 /// What the group holds, as it was when it was last heard of.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Copy {
+    /// Which group this is from; 0: none yet.
+    pub group: u64,
     /// How far the log was carried out.
     pub applied: u64,
     /// Instances that are out.
@@ -46,8 +54,15 @@
     due: f64,
     up: bool,
     copy: Copy,
+    /// The group of the member that it is linked to.
+    group: u64,
     /// When it was last heard of, and how old it was by then.
     heard: Option<(f64, f64)>,
+    /// Whether the link has brought a copy.
+    brought: bool,
+    /// How many members in a row were left for their old copies, and until when the present one is kept all the same.
+    left: u32,
+    stays: f64,
     spoke: f64,
     asks: BTreeMap<u64, Ask>,
     number: u64,
@@ -67,12 +82,13 @@
 }
 
 impl Follower {
-    /// Beside these members; each follower prefers them in an order of its own (rendezvous hashing), so that a
-    /// member's followers spread over all the others when it is lost.
+    /// Beside these members, with what it knew when it ended last; each follower prefers members in an order of its own
+    /// (rendezvous hashing), so that a member's followers spread over all the others when it is lost.
     pub fn new<'a>(
         name: &str,
         origin: u64,
         members: impl IntoIterator<Item = &'a str>,
+        copy: Copy,
         now: f64,
     ) -> Follower {
         let mut order: Vec<String> = members.into_iter().map(String::from).collect();
@@ -85,14 +101,18 @@
             fails: 0,
             due: now,
             up: false,
-            copy: Copy::default(),
+            copy,
+            group: 0,
             heard: None,
+            brought: false,
+            left: 0,
+            stays: now,
             spoke: now,
             asks: BTreeMap::new(),
             number: 0,
             frames: VecDeque::new(),
             ended: Vec::new(),
-            changed: false,
+            changed: true,
         }
     }
 
@@ -101,11 +121,13 @@
         (self.order.get(self.at).map_or("", String::as_str), self.due)
     }
 
-    /// A link to that member is up.
-    pub fn connected(&mut self, now: f64) {
-        (self.up, self.spoke) = (true, now);
+    /// A link to that member, which is in this group, is up.
+    pub fn connected(&mut self, now: f64, group: u64) {
+        (self.up, self.spoke, self.group, self.brought) = (true, now, group, false);
         self.frames.clear();
-        let have = self.copy.documents.iter().map(|(kind, d)| (*kind, d.number)).collect();
+        // Numbers of another group's documents mean nothing to this one.
+        let known = self.copy.documents.iter().filter(|_| group == self.copy.group);
+        let have = known.map(|(kind, d)| (*kind, d.number)).collect();
         self.frames.push_back(Frame::Follow { have });
         // What the last member did not answer is the same wish to this one: it takes effect once.
         let again: Vec<u64> = self.asks.keys().copied().collect();
@@ -131,11 +153,39 @@
         self.up && now - self.spoke > SILENT_MS
     }
 
+    /// Whether the member is to be left for another one, which may be connected to at once: what it knows is old.
+    pub fn leaves(&mut self, now: f64) -> bool {
+        let old = self.age_ms(now).is_none_or(|age| age > OLD_MS);
+        if !self.up || !self.brought || now < self.stays {
+            return false;
+        }
+        if !old {
+            self.left = 0;
+            return false;
+        }
+        (self.up, self.due, self.fails) = (false, now, 0);
+        self.at = (self.at + 1) % self.order.len().max(1);
+        self.left += 1;
+        // Each member is tried at once; when none is any better, there is no majority, and no hurry.
+        if let Some(rounds) = self.left.checked_sub(self.order.len() as u32) {
+            let spread = 0.5 + (hash(&self.name, &self.left.to_string()) % 1000) as f64 / 1000.0;
+            let pause = ROUND_MS.0 * f64::from(1u32 << rounds.min(6));
+            self.stays = now + pause.min(ROUND_MS.1) * spread;
+        }
+        true
+    }
+
     /// A frame from the member.
     pub fn hear(&mut self, now: f64, frame: Frame) {
         self.spoke = now;
         match frame {
             Frame::Copy { applied, age_ms, out, documents } => {
+                self.brought = true;
+                if self.group != self.copy.group {
+                    // A new group was begun in place of the lost one: what that had is as it says from now on.
+                    self.copy = Copy { group: self.group, ..Copy::default() };
+                    self.changed = true;
+                }
                 // A member that lags behind the last one takes nothing back.
                 if applied < self.copy.applied {
                     return;
--- a/crates/group/src/frame.rs
+++ b/crates/group/src/frame.rs
@@ -5,8 +5,9 @@
 use crate::state::{Document, Kind, OpId, Outcome, Wish};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
-/// The versions of the link that this program speaks, the oldest and the newest.
-pub const VERSIONS: (u16, u16) = (1, 1);
+/// The forms of the link and of the log that this program speaks, the oldest and the newest. What a newer form adds is
+/// used only once the group has raised its own form, which it does when all members speak it.
+pub const FORMS: (u16, u16) = (1, 2);
 /// Largest frame, bytes: a state with all its documents and room beside it.
 pub const MOST_FRAME: usize = 6 << 20;
 /// Largest greeting, bytes.
@@ -34,8 +35,8 @@
 pub struct Hello {
     /// That this is a link at all.
     pub magic: [u8; 4],
-    /// The versions that it speaks.
-    pub versions: (u16, u16),
+    /// The forms that it speaks, the oldest and the newest.
+    pub forms: (u16, u16),
     /// Its group; 0: it is in none yet.
     pub group: u64,
     /// Its incarnation; 0: none yet.
@@ -49,8 +50,8 @@
 /// The answer to it, and the only frame that way.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Welcome {
-    /// The version to be spoken.
-    pub version: u16,
+    /// The form to be spoken.
+    pub form: u16,
     /// The group of whom it reached.
     pub group: u64,
     /// Its incarnation.
@@ -58,16 +59,18 @@
 }
 
 impl Hello {
-    /// A greeting.
-    pub fn new(group: u64, id: u64, name: &str, to: &str) -> Hello {
-        Hello { magic: MAGIC, versions: VERSIONS, group, id, name: name.into(), to: to.into() }
+    /// A greeting of one that speaks no newer form than `newest`.
+    pub fn new(newest: u16, group: u64, id: u64, name: &str, to: &str) -> Hello {
+        let forms = (FORMS.0, newest.min(FORMS.1));
+        Hello { magic: MAGIC, forms, group, id, name: name.into(), to: to.into() }
     }
 
-    /// The version to be spoken with whoever sent this; why not, if with none.
+    /// The form to be spoken with whoever sent this; why not, if with none. `forms`: the form that the group has, and
+    /// the newest that this member speaks. Followers see no log: the oldest form is enough for them.
     ///
     /// # Errors
     /// What is wrong with it, in words.
-    pub fn judge(&self, group: u64, name: &str) -> Result<u16, &'static str> {
+    pub fn judge(&self, forms: (u16, u16), group: u64, name: &str) -> Result<u16, &'static str> {
         if self.magic != MAGIC {
             return Err("no link of this program");
         }
@@ -77,10 +80,13 @@
         if self.group != 0 && group != 0 && self.group != group {
             return Err("of another group");
         }
-        if self.versions.1 < VERSIONS.0 || self.versions.0 > VERSIONS.1 {
-            return Err("speaks no version that is known here");
+        if self.forms.1 < FORMS.0 || self.forms.0 > forms.1 {
+            return Err("speaks no form that is known here");
         }
-        Ok(self.versions.1.min(VERSIONS.1))
+        if self.id != 0 && self.forms.1 < forms.0 {
+            return Err("an older program, or one kept to an older form, than the group has");
+        }
+        Ok(self.forms.1.min(forms.1))
     }
 }
 
--- a/crates/group/src/member.rs
+++ b/crates/group/src/member.rs
@@ -5,7 +5,7 @@
 
 use crate::record::{Batch, EntryRecord, HardRecord, MessageRecord, SnapshotRecord};
 use crate::state::{Asked, OpId, Outcome, State, Wish};
-use crate::{mirror::Mirror, LEAST_MEMBERS};
+use crate::{mirror::Mirror, FORMS, LEAST_MEMBERS};
 use protobuf::Message as _;
 use raft::eraftpb::{
     ConfChange, ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message,
@@ -28,6 +28,8 @@
 const CLOSE: u64 = 64;
 /// A member that was stalled does not make up for more ticks than this: it listens first.
 const MOST_TICKS: u32 = 2;
+/// Between two wishes for a newer form, ms.
+const RAISE_MS: f64 = 2000.0;
 /// Entries that one message holds at most, bytes.
 const MOST_MESSAGE: u64 = 256 << 10;
 
@@ -52,6 +54,8 @@
     pub origin: u64,
     /// Members that are let in when they come with an empty folder, and where their links listen.
     pub members: BTreeMap<String, String>,
+    /// The newest form of the log that it speaks.
+    pub newest: u16,
 }
 
 impl Settings {
@@ -67,6 +71,7 @@
             seed: origin,
             origin,
             members,
+            newest: FORMS.1,
         }
     }
 }
@@ -160,6 +165,12 @@
     /// The library refuses it.
     #[error("the log cannot be used")]
     Library,
+    /// A newer program has written what this one cannot carry out, or the group has a newer form than the settings allow.
+    #[error("the log is of form {0}, which this program does not know or is not to speak")]
+    Form(u16),
+    /// An entry that this program cannot read.
+    #[error("the log holds what this program does not know")]
+    Unknown,
 }
 
 /// Why a wish is refused before it is sent.
@@ -232,12 +243,14 @@
     pub applied: u64,
     /// How far it is agreed.
     pub committed: u64,
-    /// So long ago it last heard of the group's leader, ms.
+    /// So long ago it last heard of the group's leader, ms; infinite: not since it was started.
     pub age_ms: f64,
     /// All members.
     pub members: Vec<Health>,
     /// Who votes is just changing: until that is through, those who voted before are needed as well.
     pub changing: bool,
+    /// The form of the log.
+    pub form: u16,
 }
 
 struct Call {
@@ -268,8 +281,10 @@
     conf: ConfState,
     applied: u64,
     ticked: f64,
-    /// When a leader was last heard of; when this member began to lead.
+    /// When a leader was last heard of, or this life began; whether one has been in this life; when this member began
+    /// to lead.
     heard: f64,
+    known: bool,
     led: Option<f64>,
     /// When each incarnation was last heard.
     spoke: BTreeMap<u64, f64>,
@@ -277,6 +292,10 @@
     number: u64,
     joins: BTreeMap<String, f64>,
     snapshots: BTreeMap<u64, f64>,
+    /// The newest form that each name's program has said to speak.
+    speaks: BTreeMap<String, u16>,
+    /// When a newer form was last asked for.
+    raised: Option<f64>,
     writing: Option<Writing>,
     messages: Vec<MessageRecord>,
     events: Vec<Event>,
@@ -304,6 +323,9 @@
             0 => State::default(),
             _ => State::decode(&loaded.snapshot.data).ok_or(Lost::State)?,
         };
+        if state.form() > settings.newest {
+            return Err(Lost::Form(state.form()));
+        }
         let next = loaded.cut.0 + 1;
         let whole = loaded.entries.iter().zip(next..).all(|(e, index)| e.index == index);
         let last = loaded.cut.0 + loaded.entries.len() as u64;
@@ -337,12 +359,15 @@
             applied,
             ticked: now,
             heard: now,
+            known: false,
             led: None,
             spoke: BTreeMap::new(),
             calls: BTreeMap::new(),
             number: 0,
             joins: BTreeMap::new(),
             snapshots: BTreeMap::new(),
+            speaks: BTreeMap::new(),
+            raised: None,
             writing: None,
             messages: Vec::new(),
             events: vec![Event::Changed],
@@ -409,9 +434,35 @@
             }
         }
         self.keep_up_members();
+        self.raise(now);
         self.retry(now);
     }
 
+    /// A member's program has greeted this one: the newest form that it speaks.
+    pub fn greeted(&mut self, name: &str, newest: u16) {
+        self.speaks.insert(name.into(), newest);
+    }
+
+    /// Raises the group's form once every member is known to speak a newer one: until then all that goes into the log
+    /// is what the oldest program among them can carry out.
+    fn raise(&mut self, now: f64) {
+        let own = (self.settings.name.as_str(), self.settings.newest);
+        let speaks = |name: &str| match name == own.0 {
+            true => own.1,
+            false => self.speaks.get(name).copied().unwrap_or(FORMS.0),
+        };
+        // One that is down may come back as an older program.
+        let here = |id: &u64| self.spoke.get(id).is_some_and(|at| now - at < SILENT_MS) || *id == self.id();
+        let members = self.state.members.iter().filter(|(_, m)| !m.gone);
+        let common = members.map(|(id, m)| if here(id) { speaks(&m.name) } else { FORMS.0 }).min();
+        let common = common.unwrap_or(FORMS.0);
+        let due = self.raised.is_none_or(|at| now - at > RAISE_MS);
+        if self.leads() && due && common > self.state.form() && self.conf.voters.len() >= LEAST_MEMBERS {
+            self.raised = Some(now);
+            let _ = self.change(now, Wish::Raise(common));
+        }
+    }
+
     /// A message has come.
     pub fn hear(&mut self, now: f64, message: MessageRecord) {
         let from = message.from;
@@ -429,10 +480,15 @@
             self.lost = Some(Lost::Behind);
             return;
         }
+        // What cannot be read would be in everybody's log.
+        let asks = message.get_msg_type() == MessageType::MsgPropose;
+        if asks && !message.entries.iter().all(|e| postcard::from_bytes::<Asked>(&e.data).is_ok()) {
+            return;
+        }
         let term = message.term;
         let _ = self.node.step(message);
         if leads && term == self.node.raft.term {
-            self.heard = now;
+            (self.heard, self.known) = (now, true);
         }
         self.settle(now);
     }
@@ -516,6 +572,10 @@
         if let Some(id) = self.state.admitted(name, nonce) {
             return Some(id);
         }
+        // An older program could not carry out what the log may hold by now.
+        if self.speaks.get(name).copied().unwrap_or(FORMS.0) < self.state.form() {
+            return None;
+        }
         let invited = self.state.invited.get(name).map(|i| &i.address);
         let address = invited.or_else(|| self.settings.members.get(name))?.clone();
         let silent = |since: f64| now - since > SILENT_MS;
@@ -557,6 +617,7 @@
         if let Some(snapshot) = &restored {
             mirror.restore(snapshot);
             batch.restored = Some(snapshot.into());
+            batch.form = State::decode(&snapshot.data).map(|state| state.form());
         }
         if !mirror.append(ready.entries()) {
             self.lost = Some(Lost::Gap);
@@ -572,7 +633,12 @@
         for read in ready.take_read_states() {
             self.may_read(&read);
         }
-        if self.apply(ready.take_committed_entries()) {
+        let form = self.state.form();
+        let members = self.apply(ready.take_committed_entries());
+        if self.state.form() != form {
+            batch.form = Some(self.state.form());
+        }
+        if members {
             // Who votes follows from what is agreed, and is needed again at the next start: a member that forgot that
             // it was let vote would wait for ever for those who are gone.
             let hard = self.node.raft.hard_state();
@@ -637,6 +703,9 @@
         let Some(Writing { number, restored, messages }) = self.writing.take() else { return };
         if let Some(snapshot) = restored {
             match State::decode(&snapshot.data) {
+                Some(state) if state.form() > self.settings.newest => {
+                    self.lost = Some(Lost::Form(state.form()));
+                }
                 Some(state) => self.state = state,
                 None => self.lost = Some(Lost::State),
             }
@@ -668,7 +737,11 @@
             match entry.get_entry_type() {
                 EntryType::EntryNormal if entry.data.is_empty() => {}
                 EntryType::EntryNormal => {
-                    let Ok(asked) = postcard::from_bytes::<Asked>(&entry.data) else { continue };
+                    let Ok(asked) = postcard::from_bytes::<Asked>(&entry.data) else {
+                        // To go on would be to hold another state than those who can read it.
+                        self.lost = Some(Lost::Unknown);
+                        break;
+                    };
                     let outcome = self.state.apply(entry.index, &asked);
                     self.events.push(Event::Changed);
                     let ours = asked.op.origin == self.settings.origin;
@@ -732,7 +805,9 @@
         raft.set_randomized_election_timeout((least + drawn) as usize);
         if raft.state == StateRole::Leader {
             self.led.get_or_insert(now);
-            self.heard = self.heard.max(self.majority_heard(now));
+            let heard = self.majority_heard(now);
+            self.heard = self.heard.max(heard);
+            self.known |= heard > 0.0;
         } else {
             self.led = None;
         }
@@ -839,9 +914,13 @@
         }
     }
 
-    /// So long ago it last heard of the group's leader, ms.
+    /// So long ago it last heard of the group's leader, ms; infinite: not since it was started.
     pub fn age_ms(&self, now: f64) -> f64 {
-        now - self.heard
+        if self.known {
+            now - self.heard
+        } else {
+            f64::INFINITY
+        }
     }
 
     /// How it stands.
@@ -873,6 +952,7 @@
             age_ms: self.age_ms(now),
             members: members.collect(),
             changing: !self.conf.voters_outgoing.is_empty(),
+            form: self.state.form(),
         }
     }
 
--- a/crates/group/src/peer.rs
+++ b/crates/group/src/peer.rs
@@ -46,6 +46,8 @@
     frames: Vec<(String, Frame)>,
     fans: Fans,
     events: Vec<Event>,
+    /// The newest form that each other one has said to speak.
+    speaks: BTreeMap<String, u16>,
 }
 
 impl Peer {
@@ -68,7 +70,8 @@
         let (names, frames) = Default::default();
         let (fans, events) = Default::default();
         let (joined, told) = (f64::MIN, f64::MIN);
-        Peer { settings, place, roads, names, joined, told, frames, fans, events }
+        let speaks = BTreeMap::new();
+        Peer { settings, place, roads, names, joined, told, frames, fans, events, speaks }
     }
 
     /// The member; none: it has not been let in yet.
@@ -105,6 +108,23 @@
         all
     }
 
+    /// Another one has opened a link to this one: the newest form that it speaks.
+    pub fn greeted(&mut self, from: &str, newest: u16) {
+        // Followers, and whoever else greets, are no concern of the log.
+        if !self.others().contains_key(from) {
+            return;
+        }
+        self.speaks.insert(from.into(), newest);
+        if let Place::Sitting(member) = &mut self.place {
+            member.greeted(from, newest);
+        }
+    }
+
+    /// Those who say of late that they do not hear this one: a link to them that looks sound carries nothing.
+    pub fn unheard_by(&self, now: f64) -> Vec<String> {
+        self.roads.unheard_by(now)
+    }
+
     /// A frame has come over the link that this member opened.
     pub fn hear(&mut self, now: f64, from: &str, id: u64, frame: Frame) {
         if id != 0 && self.names.get(&id).is_none_or(|name| name != from) {
@@ -210,7 +230,8 @@
             Place::Sitting(member) => member.written(now),
             Place::Waiting { admitted: Some((group, id)), .. } => {
                 let loaded = Loaded::admitted(*group, *id);
-                let member = Member::new(self.settings.clone(), loaded, now)?;
+                let mut member = Member::new(self.settings.clone(), loaded, now)?;
+                self.speaks.iter().for_each(|(name, newest)| member.greeted(name, *newest));
                 self.place = Place::Sitting(Box::new(member));
             }
             Place::Waiting { .. } => {}
--- a/crates/group/src/record.rs
+++ b/crates/group/src/record.rs
@@ -120,6 +120,8 @@
     pub snapshot: Option<SnapshotRecord>,
     /// Entries up to this place may go, and the term of that place.
     pub cut: Option<(u64, u64)>,
+    /// The form of the log, where it has changed: an older program must not use the folder from then on.
+    pub form: Option<u16>,
 }
 
 impl Batch {
@@ -130,7 +132,7 @@
 
     /// Whether something that is written counts for others, so that it must be on the disk and not on its way there.
     pub fn must_sync(&self) -> bool {
-        self.restored.is_some() || !self.entries.is_empty() || self.hard.is_some()
+        self.restored.is_some() || !self.entries.is_empty() || self.hard.is_some() || self.form.is_some()
     }
 }
 
--- a/crates/group/src/roads.rs
+++ b/crates/group/src/roads.rs
@@ -47,6 +47,12 @@
         fresh.map(|(name, _)| name.clone()).collect()
     }
 
+    /// Who says not to hear this member.
+    pub(crate) fn unheard_by(&self, now: f64) -> Vec<String> {
+        let fresh = self.told.iter().filter(|(_, (at, _))| now - at < FRESH_MS);
+        fresh.filter(|(_, (_, list))| !list.contains(&self.name)).map(|(name, _)| name.clone()).collect()
+    }
+
     /// How to reach a member.
     pub(crate) fn way(&self, now: f64, to: &str) -> Way {
         let fresh = |name: &str| self.told.get(name).filter(|(at, _)| now - at < 2.0 * FRESH_MS);
--- a/crates/group/src/state.rs
+++ b/crates/group/src/state.rs
@@ -2,7 +2,7 @@
 //! in the group under which incarnation. It owns the meaning of every entry. The same entries must give the same state
 //! on every member: nothing here asks for a time, a random number or an order that memory happens to have.
 
-use crate::{is_name, LEAST_MEMBERS, MOST_MEMBERS};
+use crate::{is_name, FORMS, LEAST_MEMBERS, MOST_MEMBERS};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -62,6 +62,8 @@
         /// Whose place it takes.
         instead_of: Option<String>,
     },
+    /// From here on the log may hold what this form knows: all members speak it.
+    Raise(u16),
 }
 
 /// A wish as it stands in the log.
@@ -148,6 +150,10 @@
     /// Who is awaited, by name.
     pub invited: BTreeMap<String, Invitation>,
     recent: VecDeque<(u64, OpId, Outcome)>,
+    /// The form of what the log may hold. In its encoded form this comes behind all that the first form knew, and only
+    /// from the second form on: a program of the first form reads a state of that form, and is never given another.
+    #[serde(skip)]
+    form: u16,
 }
 
 impl State {
@@ -163,14 +169,31 @@
         State { group, next: 2, members: [(1, first)].into(), ..State::default() }
     }
 
+    /// The form of the log: what its entries and states may hold.
+    pub fn form(&self) -> u16 {
+        self.form.max(FORMS.0)
+    }
+
     /// The state for the disk and the link.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
+        if self.form() > FORMS.0 {
+            bytes.extend(postcard::to_stdvec(&self.form).unwrap_or_default());
+        }
+        bytes
     }
 
-    /// A state that was encoded; none: it was not, or not whole.
+    /// A state that was encoded; none: it was not, or not whole, or in a newer form.
     pub fn decode(bytes: &[u8]) -> Option<State> {
-        postcard::from_bytes(bytes).ok()
+        let (mut state, rest) = postcard::take_from_bytes::<State>(bytes).ok()?;
+        if !rest.is_empty() {
+            let (form, rest) = postcard::take_from_bytes::<u16>(rest).ok()?;
+            if form > FORMS.1 || !rest.is_empty() {
+                return None;
+            }
+            state.form = form;
+        }
+        Some(state)
     }
 
     /// The incarnation in which a member is in the group now.
@@ -294,6 +317,13 @@
                 }
                 Outcome::Done
             }
+            Wish::Raise(form) => {
+                if *form <= self.form() {
+                    return Outcome::Before;
+                }
+                self.form = *form;
+                Outcome::Done
+            }
         }
     }
 
--- a/crates/group/tests/followers.rs
+++ b/crates/group/tests/followers.rs
@@ -29,7 +29,8 @@
         let names: Vec<String> = (0..members).map(|i| format!("m{i}")).collect();
         let beside = (0..followers).map(|f| {
             let members = names.iter().map(String::as_str);
-            let follower = Follower::new(&format!("f{f}"), 1 << 40 | f as u64, members, world.now);
+            let follower =
+                Follower::new(&format!("f{f}"), 1 << 40 | f as u64, members, Copy::default(), world.now);
             Beside { follower, link: None }
         });
         let beside = beside.collect();
@@ -72,7 +73,7 @@
                         *count.entry(member).or_insert(0) += 1;
                         self.next += 1;
                         beside.link = Some((member, self.next));
-                        follower.connected(now);
+                        follower.connected(now, 77);
                     } else {
                         follower.broken(now);
                     }
--- a/src/calls.rs
+++ b/src/calls.rs
@@ -61,6 +61,15 @@
     }
 }
 
+/// How old a copy is, ms.
+fn age(ms: f64) -> String {
+    if ms.is_finite() {
+        format!("{ms:.0}")
+    } else {
+        "unknown".into()
+    }
+}
+
 /// How the group stands, on one line.
 fn seat(seat: Seat) -> Answer {
     let status = match seat {
@@ -70,7 +79,7 @@
         Seat::Lost(why) => return Answer::no(format!("votes no more: {why}")),
         Seat::Following { member, applied, age_ms } => {
             let (yes, member) = (member.is_some(), member.unwrap_or_else(|| "none".into()));
-            let age = age_ms.map_or("unknown".to_string(), |ms| format!("{ms:.0}"));
+            let age = age(age_ms.unwrap_or(f64::INFINITY));
             return Answer {
                 yes,
                 text: format!("role=beside member={member} applied={applied} age_ms={age}"),
@@ -89,13 +98,14 @@
         format!("{}:{}:{}{lag}", m.name, m.id, if m.votes { "votes" } else { "copies" })
     });
     let text = format!(
-        "role={role} leader={} term={} applied={} agreed={} age_ms={:.0} changing={} members={}",
+        "role={role} leader={} term={} applied={} agreed={} age_ms={} changing={} form={} members={}",
         status.leader.as_deref().unwrap_or("none"),
         status.term,
         status.applied,
         status.committed,
-        status.age_ms,
+        age(status.age_ms),
         if status.changing { "yes" } else { "no" },
+        status.form,
         members.collect::<Vec<_>>().join(",")
     );
     Answer { yes: status.leader.is_some(), text }
--- a/src/group/engine.rs
+++ b/src/group/engine.rs
@@ -3,7 +3,7 @@
 //! group agrees on, or go on as a member once its disk has failed.
 
 use super::links::{listen, Counts, Link, News, Outlet, Own, MOST_FOLLOWERS};
-use super::store::{Identity, Store, StoreError, FORMAT};
+use super::store::{Identity, Store, StoreError};
 use super::{fresh, Ended, GroupSettings, Request, Seat, View};
 use driftgap_group::{Event, Job, Loaded, Member, Outcome, Peer, Settings, Standing, Wish};
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,7 +18,7 @@
 /// A leader whose disk has not done a job for so long gives leadership away, ms.
 const HANGS_MS: f64 = 1500.0;
 /// Figures are logged this often, ms.
-const FIGURES_MS: f64 = 10_000.0;
+pub(super) const FIGURES_MS: f64 = 10_000.0;
 /// Frames taken in before the disk is written, so that one write serves many.
 const MOST_AT_ONCE: usize = 256;
 
@@ -27,7 +27,7 @@
     for job in jobs {
         let result = match job {
             Job::Begin { group, id, nonce } => {
-                let identity = Identity { format: FORMAT, group, name: name.clone(), id, nonce };
+                let identity = Identity { format: 1, group, name: name.clone(), id, nonce };
                 store.begin(&identity, &Loaded::admitted(group, id))
             }
             Job::Write(batch) => store.write(&batch),
@@ -82,7 +82,8 @@
             let name = name.clone();
             move || keep(store, name, jobs, done)
         })?;
-        let who = Own { name, ..Own::default() };
+        let newest = settings.newest();
+        let who = Own { name, newest, ..Own::default() };
         let mut engine = Engine {
             settings,
             disk,
@@ -100,7 +101,8 @@
             led_by: None,
             promises: Vec::new(),
         };
-        let settings = Settings::new(&engine.who.name, fresh(), engine.settings.texts());
+        let mut settings = Settings::new(&engine.who.name, fresh(), engine.settings.texts());
+        settings.newest = newest;
         match loaded {
             Some(Ok(loaded)) => {
                 let (group, id, entries) = (loaded.group, loaded.id, loaded.entries.len());
@@ -127,6 +129,7 @@
         if let Some(member) = self.member() {
             self.who.group.set(member.group());
             self.who.id.set(member.id());
+            self.who.form.set(member.state().form());
         }
     }
 
@@ -188,18 +191,34 @@
                 self.answer(request);
             }
             self.pass();
-            if self.settle() {
+            let ended = self.end_dead_links();
+            if self.settle() || ended {
                 self.keep_links(&news);
             }
         }
     }
 
+    /// Ends those that look sound and carry nothing, as after a fault on the way that told only the other side. Whether
+    /// there were any.
+    fn end_dead_links(&mut self) -> bool {
+        let Place::In(peer) = &self.place else { return false };
+        let links = &mut self.links;
+        let dead = peer.unheard_by(self.began.elapsed().as_secs_f64() * 1e3);
+        let dead: Vec<String> = dead.into_iter().filter(|n| links.get(n).is_some_and(Link::is_old)).collect();
+        for name in &dead {
+            tracing::warn!(to = name, "is not heard over its link: made anew");
+            links.remove(name).inspect(Link::end);
+        }
+        !dead.is_empty()
+    }
+
     /// A link to everybody who is in the group or awaited, and to nobody else.
     fn keep_links(&mut self, news: &mpsc::Sender<News>) {
         let Place::In(peer) = &self.place else { return };
         let others = peer.others();
         self.links.retain(|name, link| {
-            let stays = others.contains_key(name);
+            // One that was let go and let in elsewhere is another way.
+            let stays = others.get(name).is_some_and(|address| *address == link.address.to_string());
             if !stays {
                 link.end();
             }
@@ -237,6 +256,7 @@
         let now = self.now();
         let Place::In(peer) = &mut self.place else { return };
         match news {
+            News::Greeted(name, newest) => peer.greeted(&name, newest),
             News::Frame(name, id, frame) => peer.hear(now, &name, id, *frame),
             News::Broken(name) => peer.broken(&name),
             News::Fan(number, name, outlet) => {
@@ -361,6 +381,10 @@
         }
         let changed = events.contains(&Event::Changed);
         if changed {
+            if self.who.form.get() < member.state().form() {
+                self.who.form.set(member.state().form());
+                tracing::info!(form = member.state().form(), "the group has raised its form");
+            }
             let applied = member.applied();
             let held = self.view.borrow().out.clone();
             let same = held.iter().eq(member.state().out.keys());
@@ -418,6 +442,7 @@
             term = status.term,
             applied = status.applied,
             age_ms = status.age_ms.round(),
+            form = status.form,
             lags = lags.join(" "),
             links = up.len(),
             followers = self.fans.len(),
--- a/src/group/follow.rs
+++ b/src/group/follow.rs
@@ -1,9 +1,11 @@
 //! An ingress beside the group: it keeps one connection to one member. It owns that connection and the turn between it
 //! and the follower's decisions. It must never hold more than one link, or make a call wait for a member that is gone.
 
+use super::engine::FIGURES_MS;
+use super::kept::{Keeping, Kept};
 use super::links::{connect, Counts, Outlet, Own};
 use super::{Ended, GroupSettings, Request, Seat, View};
-use driftgap_group::{Answered, Follower, Frame, Outcome};
+use driftgap_group::{Answered, Follower, Frame, Outcome, FORMS};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -16,7 +18,8 @@
 
 /// What the connection's task brings.
 pub(super) enum Line {
-    Up(Rc<Outlet>),
+    /// A link is up, to a member of this group.
+    Up(Rc<Outlet>, u64),
     Frame(Box<Frame>),
     Down,
 }
@@ -29,7 +32,9 @@
     task: Option<AbortHandle>,
     waiting: BTreeMap<u64, oneshot::Sender<Ended>>,
     view: watch::Sender<View>,
+    keeping: Option<Keeping>,
     began: Instant,
+    logged: f64,
 }
 
 impl Following {
@@ -37,19 +42,24 @@
         settings: GroupSettings,
         name: String,
         origin: u64,
+        kept: Option<Kept>,
         view: watch::Sender<View>,
-    ) -> Following {
-        let follower = Follower::new(&name, origin, settings.members.keys().map(String::as_str), 0.0);
-        Following {
+    ) -> std::io::Result<Following> {
+        let copy = kept.as_ref().and_then(Kept::load).unwrap_or_default();
+        let members = settings.members.keys().map(String::as_str);
+        let follower = Follower::new(&name, origin, members, copy, 0.0);
+        Ok(Following {
+            keeping: kept.map(Kept::keep).transpose()?,
+            logged: 0.0,
             settings,
-            who: Rc::new(Own { name, ..Own::default() }),
+            who: Rc::new(Own { name, newest: FORMS.1, ..Own::default() }),
             follower,
             outlet: None,
             task: None,
             waiting: BTreeMap::new(),
             view,
             began: Instant::now(),
-        }
+        })
     }
 
     fn now(&self) -> f64 {
@@ -72,6 +82,17 @@
             }
             let now = self.now();
             self.follower.pass(now);
+            if self.follower.leaves(now) {
+                tracing::info!("the member's copy is old: follows another one");
+                self.task.take().inspect(AbortHandle::abort);
+                self.outlet = None;
+            }
+            if now - self.logged > FIGURES_MS {
+                self.logged = now;
+                let member = self.follower.is_up().then(|| self.follower.next().0);
+                let age_ms = self.follower.age_ms(now).map(f64::round);
+                tracing::info!(member, applied = self.follower.copy().applied, age_ms, "beside the group");
+            }
             if self.follower.silent(now) {
                 self.drop_link();
             }
@@ -99,9 +120,9 @@
     fn take(&mut self, line: Line) {
         let now = self.now();
         match line {
-            Line::Up(outlet) => {
+            Line::Up(outlet, group) => {
                 self.outlet = Some(outlet);
-                self.follower.connected(now);
+                self.follower.connected(now, group);
                 tracing::info!(member = self.follower.next().0, "follows");
             }
             Line::Frame(frame) => self.follower.hear(now, *frame),
@@ -117,6 +138,7 @@
         }
         if self.follower.changed() {
             let copy = self.follower.copy();
+            self.keeping.iter().for_each(|keeping| keeping.put(copy.clone()));
             self.view.send_replace(View {
                 out: Arc::new(copy.out.clone()),
                 documents: Arc::new(copy.documents.clone()),
--- a/src/group/links.rs
+++ b/src/group/links.rs
@@ -35,10 +35,15 @@
     pub(super) name: String,
     pub(super) group: Cell<u64>,
     pub(super) id: Cell<u64>,
+    /// The form that the group has, and the newest that this member speaks.
+    pub(super) form: Cell<u16>,
+    pub(super) newest: u16,
 }
 
 /// What links bring.
 pub(super) enum News {
+    /// Somebody has opened a link: its name, and the newest form that it speaks.
+    Greeted(String, u16),
     /// A frame, from whom by name and incarnation.
     Frame(String, u64, Box<Frame>),
     /// What was sent to this member is lost.
@@ -68,12 +73,14 @@
     queue: RefCell<Vec<u8>>,
     more: Notify,
     up: Cell<bool>,
+    since: Cell<Option<Instant>>,
     counts: Rc<Counts>,
 }
 
 impl Outlet {
     fn new(counts: Rc<Counts>, up: bool) -> Rc<Outlet> {
-        Rc::new(Outlet { queue: RefCell::default(), more: Notify::new(), up: Cell::new(up), counts })
+        let (queue, more, since) = (RefCell::default(), Notify::new(), Cell::new(None));
+        Rc::new(Outlet { queue, more, up: Cell::new(up), since, counts })
     }
 
     /// Sends a frame, if the connection is up and its reader keeps up; false: it is lost.
@@ -122,6 +129,7 @@
 pub(super) struct Link {
     outlet: Rc<Outlet>,
     task: AbortHandle,
+    pub(super) address: SocketAddr,
 }
 
 impl Link {
@@ -159,22 +167,27 @@
                 sleep(pause).await;
             }
         });
-        Link { outlet, task: task.abort_handle() }
+        Link { outlet, task: task.abort_handle(), address }
     }
 
-    /// Ends it: the member is none any more.
+    /// Whether it has been up for longer than a sound one takes to be heard.
+    pub(super) fn is_old(&self) -> bool {
+        self.is_up() && self.outlet.since.get().is_some_and(|at| at.elapsed() > PATIENCE)
+    }
+
+    /// Ends it: the member is none any more, or another link takes its place.
     pub(super) fn end(&self) {
         self.task.abort();
     }
 }
 
 /// A connection to a member that has welcomed this one.
-async fn greeted(who: &Own, to: &str, address: SocketAddr) -> Result<TcpStream, String> {
+async fn greeted(who: &Own, to: &str, address: SocketAddr) -> Result<(TcpStream, Welcome), String> {
     let connect = timeout(PATIENCE, TcpStream::connect(address)).await;
     let mut stream = connect.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
     let group = who.group.get();
-    let hello = Hello::new(group, who.id.get(), &who.name, to).bytes();
+    let hello = Hello::new(who.newest, group, who.id.get(), &who.name, to).bytes();
     write(&mut stream, &hello).await?;
     let welcome: Welcome = timeout(PATIENCE, first(&mut stream))
         .await
@@ -183,13 +196,17 @@
     if group != 0 && welcome.group != 0 && welcome.group != group {
         return Err("of another group".into());
     }
-    Ok(stream)
+    if welcome.form < who.form.get() {
+        return Err("an older program, or one kept to an older form, than the group has".into());
+    }
+    Ok((stream, welcome))
 }
 
 async fn carry(outlet: &Outlet, who: &Own, to: &str, address: SocketAddr) -> Result<(), String> {
     let as_whom = (who.group.get(), who.id.get());
-    let mut stream = greeted(who, to, address).await?;
+    let (mut stream, _) = greeted(who, to, address).await?;
     outlet.up.set(true);
+    outlet.since.set(Some(Instant::now()));
     let (mut reader, mut writer) = stream.split();
     let stays = || match (who.group.get(), who.id.get()) == as_whom {
         true => Ok(()),
@@ -212,10 +229,10 @@
     counts: Rc<Counts>,
 ) {
     let carried = async {
-        let stream = greeted(&who, &to, address).await?;
+        let (stream, welcome) = greeted(&who, &to, address).await?;
         let (mut reader, mut writer) = stream.into_split();
         let outlet = Outlet::new(counts, true);
-        let _ = lines.send(Line::Up(outlet.clone())).await;
+        let _ = lines.send(Line::Up(outlet.clone(), welcome.group)).await;
         let mut frames = Frames::default();
         let read = async {
             while let Some(frame) = frames.next(&mut reader).await? {
@@ -350,8 +367,9 @@
     let _ = stream.set_nodelay(true);
     let hello = timeout(PATIENCE, first::<Hello>(&mut stream)).await;
     let hello = hello.map_err(|_| "no greeting in time")?.ok_or("no greeting")?;
-    let version = hello.judge(who.group.get(), &who.name)?;
-    let welcome = Welcome { version, group: who.group.get(), id: who.id.get() };
+    let form = hello.judge((who.form.get(), who.newest), who.group.get(), &who.name)?;
+    let _ = news.send(News::Greeted(hello.name.clone(), hello.forms.1)).await;
+    let welcome = Welcome { form, group: who.group.get(), id: who.id.get() };
     write(&mut stream, &welcome.bytes()).await?;
     let (mut reader, writer) = stream.into_split();
     let mut frames = Frames::default();
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -4,12 +4,17 @@
 
 mod engine;
 mod follow;
+mod kept;
 mod links;
 pub mod store;
 
-use driftgap_group::{is_name, Document, Kind, Member, MemberStatus, Outcome, Settings, Wish, MOST_DOCUMENT};
+use driftgap_group::{
+    is_name, Document, Kind, Member, MemberStatus, Outcome, Settings, Wish, FORMS, MOST_DOCUMENT,
+};
 use engine::Engine;
 use follow::Following;
+use kept::Kept;
+pub use kept::KeptError;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -38,10 +43,13 @@
 pub struct GroupSettings {
     /// Where other members reach this one, if it is a member.
     pub listen: Option<SocketAddr>,
-    /// What a member keeps on its disk.
+    /// What a member keeps on its disk; a follower keeps its copy there, if it has one.
     pub folder: Option<PathBuf>,
     /// Where each member is reached, by name; an ingress of another name follows them.
     pub members: BTreeMap<String, SocketAddr>,
+    /// The newest form of the log that this member takes part in, so that a release can be taken back; the newest that
+    /// the program knows where it is absent.
+    pub form: Option<u16>,
 }
 
 impl GroupSettings {
@@ -61,6 +69,11 @@
         self.listen.ok_or_else(|| GroupError::Missing("listen", name.into()))
     }
 
+    /// The newest form that a member may speak.
+    fn newest(&self) -> u16 {
+        self.form.unwrap_or(FORMS.1)
+    }
+
     /// A member's folder.
     fn folder(&self, name: &str) -> Result<&Path, GroupError> {
         if !self.members.contains_key(name) {
@@ -86,6 +99,9 @@
         if !(least..=most).contains(&self.members.len()) {
             return Err(("group.members", format!("must be {least} to {most} members")));
         }
+        if self.form.is_some_and(|form| !(FORMS.0..=FORMS.1).contains(&form)) {
+            return Err(("group.form", format!("must be {} to {}", FORMS.0, FORMS.1)));
+        }
         let addresses: BTreeSet<SocketAddr> = self.members.values().copied().collect();
         if addresses.len() != self.members.len() {
             return Err(("group.members", "two members at one address".into()));
@@ -109,6 +125,9 @@
     /// A member needs it.
     #[error("group.{0} is missing: {1} is a member")]
     Missing(&'static str, String),
+    /// A follower's folder cannot be used.
+    #[error("group.folder: {0}: {1}")]
+    Kept(PathBuf, KeptError),
     /// The system refuses.
     #[error("group: {0}")]
     System(#[from] std::io::Error),
@@ -272,7 +291,7 @@
     let address = settings.members.get(name).ok_or_else(|| GroupError::Name(name.into()))?.to_string();
     let mut store = Store::open(&folder.join(settings.folder(name)?))?;
     let (group, nonce) = (fresh(), fresh());
-    let identity = Identity { format: store::FORMAT, group, name: name.into(), id: 1, nonce };
+    let identity = Identity { format: 1, group, name: name.into(), id: 1, nonce };
     store.begin(&identity, &driftgap_group::Loaded::first(group, name, &address, nonce))?;
     Ok(group)
 }
@@ -290,15 +309,16 @@
 ) -> Result<String, GroupError> {
     let address = settings.members.get(name).ok_or_else(|| GroupError::Name(name.into()))?.to_string();
     let mut store = Store::open(&folder.join(settings.folder(name)?))?;
-    if store.identity(name)?.is_some() {
+    let newest = settings.newest().into();
+    if store.identity(name, newest)?.is_some() {
         return Err(StoreError::Taken(folder.join(settings.folder(name)?)).into());
     }
     let old = Store::open(from)?;
-    old.identity(name)?;
+    old.identity(name, newest)?;
     let (group, nonce) = (fresh(), fresh());
     let loaded = old.load()?.recover(group, name, &address, nonce);
     let (loaded, agreed, last) = loaded.map_err(|e| StoreError::Disk(e.to_string()))?;
-    let identity = Identity { format: store::FORMAT, group, name: name.into(), id: loaded.id, nonce };
+    let identity = Identity { format: 1, group, name: name.into(), id: loaded.id, nonce };
     store.begin(&identity, &loaded)?;
     Ok(format!(
         "group {group:x} begins with {name} and all that its old folder held, {agreed} places known as agreed and {} \
@@ -315,7 +335,7 @@
 pub fn look(settings: &GroupSettings, folder: &Path, name: &str) -> Result<String, GroupError> {
     let path = folder.join(settings.folder(name)?);
     let store = Store::open(&path)?;
-    let Some(identity) = store.identity(name)? else {
+    let Some(identity) = store.identity(name, store::FORMAT)? else {
         return Ok(format!("{}: empty; {name} will ask to be let in", path.display()));
     };
     let loaded = store.load()?;
@@ -331,7 +351,7 @@
         path.display(),
         identity.group,
         identity.id,
-        identity.format,
+        store.format()?.unwrap_or(0),
     ))
 }
 
@@ -343,7 +363,7 @@
     let member = match settings.members.contains_key(name) {
         true => {
             let store = Store::open(&folder.join(settings.folder(name)?))?;
-            let identity = store.identity(name)?;
+            let identity = store.identity(name, settings.newest().into())?;
             let listen = settings.listen_of(name)?;
             let listener = std::net::TcpListener::bind(listen).map_err(|e| GroupError::Listen(listen, e))?;
             listener.set_nonblocking(true)?;
@@ -351,6 +371,13 @@
         }
         false => None,
     };
+    let kept = match (&member, &settings.folder) {
+        (None, Some(path)) => {
+            let path = folder.join(path);
+            Some(Kept::open(&path).map_err(|e| GroupError::Kept(path, e))?)
+        }
+        _ => None,
+    };
     let (requests, asked) = mpsc::channel(MOST_WAITING);
     let (viewed, view) = watch::channel(View::default());
     let (settings, name) = (settings.clone(), name.to_string());
@@ -365,7 +392,7 @@
                         let engine = Engine::new(settings, name, store, identity, viewed)?;
                         engine.run(listener, asked).await
                     }
-                    None => Following::new(settings, name, fresh(), viewed).run(asked).await,
+                    None => Following::new(settings, name, fresh(), kept, viewed)?.run(asked).await,
                 }
             })
         });
--- a/src/group/store.rs
+++ b/src/group/store.rs
@@ -3,7 +3,7 @@
 //! so, go on after a write that failed (what was in memory may be gone, and a second try would not bring it back), or
 //! use a record whose checksum differs.
 
-use driftgap_group::{Batch, EntryRecord, HardRecord, Loaded, SnapshotRecord};
+use driftgap_group::{Batch, EntryRecord, HardRecord, Loaded, SnapshotRecord, State, FORMS};
 use redb::{
     Builder, Database, DatabaseError, Durability, ReadableDatabase, ReadableTable, StorageBackend,
     TableDefinition,
@@ -11,8 +11,9 @@
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::path::{Path, PathBuf};
 
-/// The form of the folder that this program writes, and the newest that it reads.
-pub const FORMAT: u32 = 1;
+/// The newest form of a folder that this program reads. It is the form of the log in it, and goes up with that: until
+/// then an older program may go on with the folder.
+pub const FORMAT: u32 = FORMS.1 as u32;
 const FILE: &str = "group.redb";
 /// What the store may keep in memory beside what is on the disk, bytes.
 const CACHE: usize = 2 << 20;
@@ -22,7 +23,7 @@
 /// Whose folder it is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Identity {
-    /// The form of the folder.
+    /// The form of this record.
     pub format: u32,
     /// The group.
     pub group: u64,
@@ -43,6 +44,9 @@
     /// A newer program wrote it.
     #[error("{0}: written by a newer program (form {1}, this one knows {FORMAT})")]
     Newer(PathBuf, u32),
+    /// It is of a newer form than the settings allow.
+    #[error("{0}: of form {1}, and group.form allows {2} at most")]
+    Form(PathBuf, u32, u32),
     /// It belongs to another member.
     #[error("{0}: the folder of member {1}, not of {2}")]
     Member(PathBuf, String, String),
@@ -125,14 +129,26 @@
         value.map(|value| opened(key, value.value())).transpose()
     }
 
-    /// Whose it is; none: nobody's yet.
+    /// Its form; none: it is nobody's yet.
     ///
     /// # Errors
-    /// It is another member's, or cannot be read.
-    pub fn identity(&self, name: &str) -> Result<Option<Identity>, StoreError> {
+    /// It cannot be read.
+    pub fn format(&self) -> Result<Option<u32>, StoreError> {
+        self.head("format")
+    }
+
+    /// Whose it is; none: nobody's yet. `newest`: the newest form that is allowed.
+    ///
+    /// # Errors
+    /// It is another member's or of a newer form, or cannot be read.
+    pub fn identity(&self, name: &str, newest: u32) -> Result<Option<Identity>, StoreError> {
         // The form comes first, by itself: what follows it may look different in another one.
-        if let Some(format) = self.head::<u32>("format")?.filter(|format| *format > FORMAT) {
-            return Err(StoreError::Newer(self.path.clone(), format));
+        match self.format()? {
+            Some(format) if format > FORMAT => return Err(StoreError::Newer(self.path.clone(), format)),
+            Some(format) if format > newest => {
+                return Err(StoreError::Form(self.path.clone(), format, newest))
+            }
+            _ => {}
         }
         let identity: Option<Identity> = self.head("identity")?;
         match identity {
@@ -151,8 +167,9 @@
         if self.head::<u32>("format")?.is_some() {
             return Err(StoreError::Taken(self.path.clone()));
         }
+        let form = State::decode(&loaded.snapshot.data).map_or(FORMS.0, |state| state.form());
         self.commit(true, |head, _| {
-            head.insert("format", sealed(&FORMAT).as_slice())?;
+            head.insert("format", sealed(&u32::from(form)).as_slice())?;
             head.insert("identity", sealed(identity).as_slice())?;
             head.insert("hard", sealed(&loaded.hard).as_slice())?;
             head.insert("snapshot", sealed(&loaded.snapshot).as_slice())?;
@@ -209,6 +226,9 @@
             for entry in &batch.entries {
                 log.insert(entry.index, sealed(entry).as_slice())?;
             }
+            if let Some(form) = batch.form {
+                head.insert("format", sealed(&u32::from(form)).as_slice())?;
+            }
             if let Some(hard) = &batch.hard {
                 head.insert("hard", sealed(hard).as_slice())?;
             }
@@ -339,7 +359,7 @@
     }
 
     fn identity() -> Identity {
-        Identity { format: FORMAT, group: 7, name: "m0".into(), id: 1, nonce: 1 }
+        Identity { format: 1, group: 7, name: "m0".into(), id: 1, nonce: 1 }
     }
 
     fn batch(index: u64, rand: &mut Rand64) -> Batch {
@@ -438,14 +458,18 @@
     fn folders_of_others_and_of_newer_programs_are_refused() {
         let disk = Disk::default();
         let store = begun(&disk).unwrap();
-        assert_eq!(store.identity("m0").unwrap(), Some(identity()));
-        assert!(matches!(store.identity("m1"), Err(StoreError::Member(..))));
+        assert_eq!(store.identity("m0", FORMAT).unwrap(), Some(identity()));
+        assert!(matches!(store.identity("m1", FORMAT), Err(StoreError::Member(..))));
         let mut store = store;
+        // A folder goes up with the log in it, and is of the oldest form until then.
+        assert_eq!(store.format().unwrap(), Some(1));
+        store.write(&Batch { form: Some(2), ..Batch::default() }).unwrap();
+        assert!(matches!(store.identity("m0", 1), Err(StoreError::Form(_, 2, 1))));
         assert!(matches!(store.begin(&identity(), &Loaded::default()), Err(StoreError::Taken(_))));
         let newer = |head: &mut redb::Table<'_, &'static str, &'static [u8]>| {
             head.insert("format", sealed(&(FORMAT + 1)).as_slice()).map(drop)
         };
         store.commit(true, |head, _| newer(head)).unwrap();
-        assert!(matches!(store.identity("m0"), Err(StoreError::Newer(_, 2))));
+        assert!(matches!(store.identity("m0", FORMAT), Err(StoreError::Newer(..))));
     }
 }
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -5,7 +5,7 @@
 mod peers;
 
 use one_machine::{OneMachine, Op, Said};
-use peers::{play, play_beside, run, Peers};
+use peers::{play, play_beside, run, Peers, Wire};
 use stateright::semantics::{ConsistencyTester, LinearizabilityTester};
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -166,6 +166,7 @@
     play(
         3,
         "start 0
+         says 0 role=
          refused 0 another process uses this folder
          kill 0
          swap 0 1
@@ -199,6 +200,8 @@
          served 4 k1
          start 0 1
          whole 0 1 2
+         # Whether the call without an answer was done, nobody could know: now it is not.
+         call 4 ACK RESTORE d
          out 4 b c",
     );
 }
@@ -335,17 +338,17 @@
             peers.step(line).await;
         }
         let at = peers.link(0);
-        let hello = Hello::new(0, 0, "m1", "m0").bytes();
+        let hello = Hello::new(2, 0, 0, "m1", "m0").bytes();
         let with = |frame: Vec<u8>| [hello.clone(), frame].concat();
         let mut spoilt = Frame::Idle.bytes();
         spoilt[5] ^= 1;
-        let elsewhere = Hello::new(1, 9, "m1", "m0").bytes();
+        let elsewhere = Hello::new(2, 1, 9, "m1", "m0").bytes();
         let admitted = Frame::Admitted { group: 1, id: 9, nonce: 1 }.bytes();
         let cases: [(&str, Vec<u8>); 9] = [
             ("says nothing", vec![]),
             ("foreign bytes", b"GET / HTTP/1.1\r\n\r\n".to_vec()),
             ("another group", elsewhere),
-            ("another member", Hello::new(0, 0, "m1", "m2").bytes()),
+            ("another member", Hello::new(2, 0, 0, "m1", "m2").bytes()),
             ("greets and says nothing", hello.clone()),
             ("a torn frame", with(Frame::Idle.bytes()[..5].to_vec())),
             ("a spoilt frame", with(spoilt)),
@@ -409,8 +412,18 @@
 
 #[test]
 fn nothing_new_reaches_an_instance_two_seconds_after_the_yes_wherever_it_was_called() {
-    run(async {
-        let mut peers = Peers::set(3, 1).await;
+    obeyed_in_time(Wire::Resp);
+}
+
+#[test]
+fn nothing_new_reaches_an_instance_two_seconds_after_the_yes_over_http2() {
+    obeyed_in_time(Wire::Http2);
+}
+
+/// Steady commands at all; an instance is taken out at a member that dies, and then by a follower.
+fn obeyed_in_time(wire: Wire) {
+    run(async move {
+        let mut peers = Peers::wired(3, 1, wire).await;
         for line in ["start 0 1 2 3", "whole 0 1 2", "says 3 member=m"] {
             peers.step(line).await;
         }
@@ -447,6 +460,245 @@
     });
 }
 
+#[test]
+fn a_follower_leaves_a_member_that_is_cut_off_and_obeys_within_two_seconds_of_the_yes() {
+    run(async {
+        let mut peers = Peers::set(3, 1).await;
+        for line in ["start 0 1 2 3", "whole 0 1 2", "says 3 member=m"] {
+            peers.step(line).await;
+        }
+        for name in ["a", "b"] {
+            let member: usize = peers.status(3, "member").await.unwrap()[1..].parse().unwrap();
+            let others: Vec<usize> = (0..3).filter(|i| *i != member).collect();
+            for other in &others {
+                peers.step(&format!("cut {member} {other}")).await;
+                peers.step(&format!("cut {other} {member}")).await;
+            }
+            // By a member that knows of no leader it is refused: asked until one does.
+            let mut yes = Instant::now();
+            while !peers.call(others[0], &format!("SUSPEND {name}")).await.starts_with("ACK") {
+                yes = Instant::now();
+            }
+            let called = yes;
+            yes = Instant::now();
+            let text = format!("{} suspended", if name == "a" { 1 } else { 2 });
+            peers.step(&format!("answers 3 {text} : STATUS")).await;
+            let late = yes.elapsed();
+            println!("{name}: the call took {:?}, the follower knew {late:?} after the yes", yes - called);
+            assert!(late < Duration::from_secs(2), "{late:?}");
+            peers.step("heal").await;
+            peers.step("led 0 1 2").await;
+        }
+    });
+}
+
+#[test]
+fn a_follower_that_starts_while_it_is_cut_off_keeps_out_what_it_knew() {
+    play_beside(
+        3,
+        1,
+        "start 0 1 2 3
+         whole 0 1 2
+         call 3 ACK SUSPEND a
+         call 0 ACK SUSPEND b
+         answers 3 2 suspended : STATUS
+         kill 3
+         split 3
+         start 3
+         answers 3 2 suspended : STATUS
+         logged 3 goes on with the copy of an earlier start
+         says 3 member=none applied=
+         says 3 age_ms=unknown
+         call 3 NAK SUSPEND c
+         served 3 k1
+         call 1 ACK RESTORE a
+         heal
+         out 3 b
+         refused 3 another process uses this folder",
+    );
+}
+
+#[test]
+fn a_follower_of_a_lost_group_takes_what_the_new_one_has() {
+    run(async {
+        let mut peers = Peers::set(3, 1).await;
+        for line in [
+            "start 0 1 2 3",
+            "whole 0 1 2",
+            "call 1 ACK SUSPEND a",
+            "out 2 a",
+            "kill 2",
+            "call 1 ACK SUSPEND b",
+            "out 3 a b",
+            "kill 0",
+            "kill 1",
+        ] {
+            peers.step(line).await;
+        }
+        let old = peers.home(2).join("old");
+        std::fs::rename(peers.home(2).join("group"), &old).unwrap();
+        let said = peers.command(2).args(["group", "recover", "--from"]).arg(&old).output().unwrap();
+        assert!(said.status.success(), "{}", String::from_utf8_lossy(&said.stderr));
+        // Further than the new group's log is for now: numbers of the old one count for nothing.
+        for line in ["wipe 0", "wipe 1", "start 0 1 2", "whole 0 1 2", "out 3 a", "call 3 ACK SUSPEND c"] {
+            peers.step(line).await;
+        }
+        for line in ["answers 3 2 suspended : STATUS", "out 0 a c"] {
+            peers.step(line).await;
+        }
+    });
+}
+
+#[test]
+fn two_forms_of_the_program_run_beside_each_other_through_a_release() {
+    play(
+        3,
+        "form 0 1
+         form 1 1
+         start 0 1 2
+         whole 0 1 2
+         call 2 ACK SUSPEND a
+         says 2 form=1
+         term 0
+         form 0 2
+         start 0
+         led 0 1 2
+         call 0 ACK SUSPEND b
+         says 0 form=1
+         kill leader
+         start 0
+         start 1
+         start 2
+         led 0 1 2
+         call 1 ACK RESTORE a
+         says 1 form=1
+         # The last one goes up: only then does the group.
+         term 1
+         form 1 2
+         start 1
+         led 0 1 2
+         says 0 form=2
+         says 1 form=2
+         says 2 form=2
+         call 1 ACK SUSPEND c
+         kill 2
+         form 2 1
+         refused 2 of form 2, and group.form allows 1 at most
+         # With an empty folder as well: the others let in nobody who could not carry out what the log holds.
+         wipe 2
+         start 2
+         call 0 ACK SUSPEND d
+         says 2 not in the group yet
+         kill 2
+         form 2 2
+         start 2
+         whole 0 1 2
+         out 2 b c d",
+    );
+}
+
+#[test]
+fn a_member_whose_disk_is_full_votes_no_more_and_the_others_go_on() {
+    run(async {
+        let mut peers = Peers::set(3, 0).await;
+        for line in ["start 0 1 2", "whole 0 1 2", "call 0 ACK SUSPEND a", "term 2", "full 2 4000", "start 2"]
+        {
+            peers.step(line).await;
+        }
+        peers.step("led 0 1 2").await;
+        // Documents of 256 kB, each one anew, until its 2 MB are used up.
+        let mut turn = 0;
+        while !peers.call(2, "GROUP STATUS").await.contains("votes no more") {
+            turn += 1;
+            let text = format!("# {turn}\n").repeat(50_000);
+            std::fs::write(peers.home(0).join("rules.toml"), text).unwrap();
+            peers.step("hup 0").await;
+            peers.step(&format!("logged 0 kept by the group kind=Rules number={}", turn + 1)).await;
+            assert!(turn < 200, "its disk is never full");
+        }
+        println!("full after {turn} documents");
+        for line in [
+            "says 2 its disk has failed",
+            "call 2 NAK SUSPEND b",
+            "served 2 k1",
+            "call 0 ACK SUSPEND b",
+            "call 1 ACK RESTORE a",
+            "answers 2 1 suspended : STATUS",
+            "kill 2",
+            "full 2 0",
+            "wipe 2",
+            "start 2",
+            "whole 0 1 2",
+            "out 2 b",
+        ] {
+            peers.step(line).await;
+        }
+    });
+}
+
+#[test]
+fn members_stopped_within_a_write_wake_without_harm() {
+    run(async {
+        let mut peers = Peers::set(3, 0).await;
+        for line in ["start 0 1 2", "whole 0 1 2"] {
+            peers.step(line).await;
+        }
+        let mut rand = oorandom::Rand64::new(7);
+        for turn in 0..12 {
+            // At a moment of the call's way: the leader, or one that copies.
+            let leader: usize = peers.status(0, "leader").await.unwrap()[1..].parse().unwrap();
+            let stopped = [leader, (leader + 1) % 3][turn % 2];
+            let through = (leader + 2) % 3;
+            let call = if turn % 4 < 2 { "SUSPEND" } else { "RESTORE" };
+            peers.step(&format!("begin {through} {call} a")).await;
+            tokio::time::sleep(Duration::from_micros(rand.rand_range(0..2500))).await;
+            peers.step(&format!("freeze {stopped}")).await;
+            peers.step("ended ACK").await;
+            // It holds whether it woke or not, and the one that woke says nothing older than that.
+            let held = if call == "SUSPEND" { "a" } else { "" };
+            peers.step(&format!("out {through} {held}")).await;
+            peers.step(&format!("thaw {stopped}")).await;
+            peers.step(&format!("out {stopped} {held}")).await;
+            peers.step("led 0 1 2").await;
+        }
+    });
+}
+
+#[test]
+fn slow_narrow_and_half_open_links_lose_no_promise() {
+    play(
+        3,
+        "start 0 1 2
+         whole 0 1 2
+         jitter 0 1 60
+         jitter 1 0 60
+         throttle 0 2 20000
+         throttle 2 0 20000
+         slow 1 2 40
+         call 0 ACK SUSPEND a
+         call 1 ACK SUSPEND b
+         call 2 ACK RESTORE a
+         out 0 b
+         heal
+         half 0 1
+         half 0 2
+         call 1 ACK SUSPEND c
+         call 2 ACK SUSPEND d
+         # Nothing that it sends arrives, until it notices by what the others say that they hear.
+         out 0 b c d
+         logged 0 is not heard over its link: made anew
+         kill leader
+         start 0
+         start 1
+         start 2
+         heal
+         led 0 1 2
+         out 0 b c d
+         out 1 b c d
+         out 2 b c d",
+    );
+}
+
 /// What an answer says; none: nothing that is certain.
 fn said(op: &Op, answer: &str) -> Option<Said> {
     let answer = answer.strip_prefix("ACK ")?;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Several processes of the program in a group, every directed link between them through a relay of the test's own,
 //! and the language that drives them. `P` is a process by its number, or `leader`; one line, one step:
 //!
-//!     start P ...                 processes are started (the first line of all begins the group at 0)
+//!     start P ...                 those that do not run are started (the first line of all begins the group at 0)
 //!     whole P ...                 these all vote, and know who leads
 //!     led P ...                   these know who leads, and agree on it
 //!     call P WORD TEXT            an operator's call; the answer begins with the word (@P stands for P's link)
@@ -14,9 +14,15 @@
 //!     wipe P                      its folder is gone
 //!     cut P Q / mute P Q          bytes from P to Q: connections end and none come up / all are swallowed
 //!     split P                     cut both ways between P and all others
+//!     form P N                    P's file allows this form of the log at most, from its next start on
+//!     full P BLOCKS               from its next start on P's files hold so many blocks of 512 bytes at most (0: as it likes)
 //!     slow P Q MS                 bytes from P to Q come so much later
+//!     jitter P Q MS               each piece comes 0 to MS later
+//!     throttle P Q BYTES          so many bytes come through a second, at most
+//!     half P Q                    the connection of P to Q ends at Q, and P is never told
 //!     torn P Q                    the link from P to Q is reset in the middle of what it carries next
 //!     heal                        every link is as it should be
+//!     answers P TEXT : CALL       a call at P, repeated until the answer holds the text
 //!     refused P TEXT              starting P fails with status 2 and one line that holds the text
 //!     swap P Q                    P's folder is put in the place of Q's
 //!     file P NAME TEXT            a file in P's folder holds this (\n are escapes): inventory.csv, rules.toml
@@ -25,6 +31,7 @@
 //!     served P K / answered P K   a command at P is answered with a value / with one final answer
 #![allow(dead_code)]
 
+use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
@@ -49,20 +56,48 @@
     Cut,
     Mute,
     Slow(u64),
+    Jitter(u64),
+    Throttle(u64),
+    Half,
     /// Ends in the middle of what comes next, once.
     Torn,
 }
 
+/// Ports: clients, HTTP/2 clients, operators' calls, links, and the relays before links.
+const FRONT: usize = 7000;
+const HTTP2: usize = 8000;
+const CALLS: usize = 9000;
+const LINK: usize = 10_000;
+
+/// The port at which P finds Q.
+fn way(p: usize, q: usize) -> usize {
+    20_000 + 8 * p + q
+}
+
 type Links = Rc<RefCell<HashMap<(usize, usize), Link>>>;
 
 pub struct Peers {
     pub size: usize,
+    members: usize,
     host: String,
     folder: PathBuf,
     programs: Vec<Option<Child>>,
     links: Links,
     begun: Option<JoinHandle<String>>,
     pub arrivals: Arrivals,
+    /// The wire of clients and instances.
+    wire: Wire,
+    /// What each one's files may hold, in blocks; 0: anything.
+    room: Vec<u64>,
+    forms: Vec<Option<u16>>,
+    program: PathBuf,
+}
+
+/// The wire that clients and instances speak.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wire {
+    Resp,
+    Http2,
 }
 
 fn own_address() -> String {
@@ -83,6 +118,8 @@
             let mut from = from;
             let (mut from_reader, mut from_writer) = from.split();
             let (mut to_reader, mut to_writer) = to.split();
+            let halved = Cell::new(false);
+            let mut rand = oorandom::Rand64::new(way.0 as u128 * 8 + way.1 as u128);
             let there = async {
                 let mut bytes = [0; 16 << 10];
                 loop {
@@ -93,6 +130,16 @@
                         Link::Cut => return,
                         Link::Mute => continue,
                         Link::Slow(ms) => sleep(Duration::from_millis(ms)).await,
+                        Link::Jitter(ms) => sleep(Duration::from_millis(rand.rand_range(0..ms + 1))).await,
+                        Link::Throttle(rate) => sleep(Duration::from_secs_f64(n as f64 / rate as f64)).await,
+                        Link::Half => {
+                            links.borrow_mut().insert(way, Link::Sound);
+                            halved.set(true);
+                            let _ = to_writer.shutdown().await;
+                            // Whoever writes here is never told, also not by the end of the other direction.
+                            while from_reader.read(&mut bytes).await.is_ok_and(|n| n > 0) {}
+                            return;
+                        }
                         Link::Torn => {
                             let _ = to_writer.write_all(&bytes[..n / 2]).await;
                             links.borrow_mut().insert(way, Link::Sound);
@@ -108,6 +155,13 @@
             let back = async {
                 let mut bytes = [0; 1 << 10];
                 while let Ok(n) = to_reader.read(&mut bytes).await {
+                    if n == 0 {
+                        // It has ended by itself, or because of what was done to the other direction.
+                        sleep(Duration::from_millis(20)).await;
+                        if halved.get() {
+                            std::future::pending::<()>().await;
+                        }
+                    }
                     if n == 0 || from_writer.write_all(&bytes[..n]).await.is_err() {
                         return;
                     }
@@ -148,20 +202,42 @@
     }
 }
 
+/// The same over HTTP/2.
+async fn http2_instance(listener: TcpListener, name: &'static str, arrivals: Arrivals) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let arrivals = arrivals.clone();
+        spawn_local(async move {
+            let Ok(mut connection) = h2::server::handshake(stream).await else { return };
+            while let Some(Ok((request, mut respond))) = connection.accept().await {
+                if request.headers().contains_key("req-id") {
+                    arrivals.borrow_mut().insert(name, Instant::now());
+                }
+                let Ok(mut send) = respond.send_response(http::Response::new(()), false) else { continue };
+                let _ = send.send_data(Bytes::from_static(b"news"), true);
+            }
+        });
+    }
+}
+
 impl Peers {
     /// So many members, and ingresses beside them.
     pub async fn set(members: usize, beside: usize) -> Peers {
+        Peers::wired(members, beside, Wire::Resp).await
+    }
+
+    /// The same with clients and instances that speak this.
+    pub async fn wired(members: usize, beside: usize, wire: Wire) -> Peers {
         let size = members + beside;
         let host = own_address();
         let folder = std::env::temp_dir().join(format!("driftgap-peers-{}-{host}", std::process::id()));
         let links = Links::default();
         for i in 0..size {
-            for j in 0..size {
+            // Nobody keeps a link to those who only follow, but some of the first become members.
+            for j in 0..size.min(8) {
                 if i != j {
                     links.borrow_mut().insert((i, j), Link::Sound);
-                    let at = format!("{host}:{}", 7300 + 10 * i + j);
-                    let listener = TcpListener::bind(at).await.unwrap();
-                    spawn_local(relay(listener, format!("{host}:{}", 7200 + j), (i, j), links.clone()));
+                    let listener = TcpListener::bind(format!("{host}:{}", way(i, j))).await.unwrap();
+                    spawn_local(relay(listener, format!("{host}:{}", LINK + j), (i, j), links.clone()));
                 }
             }
         }
@@ -170,12 +246,31 @@
             let listener = TcpListener::bind(format!("{host}:0")).await.unwrap();
             servers.push(format!(
                 r#"{{"id":"{name}","addr":"{}","zone":"building-1","kind":"small-2c","cell":0,
-                    "state":"active","weight":1.0,"started_ms":0,"protocol":"resp"}}"#,
-                listener.local_addr().unwrap()
+                    "state":"active","weight":1.0,"started_ms":0,"protocol":"{}"}}"#,
+                listener.local_addr().unwrap(),
+                if wire == Wire::Http2 { "http2" } else { "resp" }
             ));
-            spawn_local(instance(listener, name, arrivals.clone()));
+            match wire {
+                Wire::Resp => drop(spawn_local(instance(listener, name, arrivals.clone()))),
+                Wire::Http2 => drop(spawn_local(http2_instance(listener, name, arrivals.clone()))),
+            }
         }
-        let mut peers = Peers { size, host, folder, programs: Vec::new(), links, begun: None, arrivals };
+        // Another build is measured beside this one by its path.
+        let program = std::env::var_os("DRIFTGAP_PROGRAM").unwrap_or(env!("CARGO_BIN_EXE_driftgap").into());
+        let mut peers = Peers {
+            size,
+            members,
+            host,
+            folder,
+            programs: Vec::new(),
+            links,
+            begun: None,
+            arrivals,
+            wire,
+            room: vec![0; size],
+            forms: vec![None; size],
+            program: program.into(),
+        };
         for i in 0..size {
             peers.programs.push(None);
             std::fs::create_dir_all(peers.home(i)).unwrap();
@@ -183,8 +278,8 @@
                 r#"{{"name":"m{i}","listen":"{0}:{1}","operator":"{0}:{2}","settings":{SETTINGS},
                     "known":{{"version":1,"full":true,"servers":[{3}]}}}}"#,
                 peers.host,
-                7000 + i,
-                7100 + i,
+                FRONT + i,
+                CALLS + i,
                 servers.join(",")
             );
             std::fs::write(peers.home(i).join("config.json"), config).unwrap();
@@ -200,14 +295,19 @@
     /// The operator's file of one process, with these members.
     pub fn settle(&self, i: usize, members: &[usize]) {
         let members = members.iter().map(|j| {
-            let port = if *j == i { 7200 + i } else { 7300 + 10 * i + j };
+            let port = if *j == i { LINK + i } else { way(i, *j) };
             format!("m{j} = \"{}:{port}\"\n", self.host)
         });
+        let form = self.forms[i].map_or(String::new(), |form| format!("form = {form}\n"));
+        let http2 = match self.wire {
+            Wire::Http2 => format!("[http2]\nlisten = \"{}:{}\"\n", self.host, HTTP2 + i),
+            Wire::Resp => String::new(),
+        };
         let text = format!(
-            "[inventory]\nfile = \"inventory.csv\"\n[routes]\nfile = \"rules.toml\"\n\
-             [group]\nlisten = \"{}:{}\"\nfolder = \"group\"\n[group.members]\n{}",
+            "{http2}[inventory]\nfile = \"inventory.csv\"\n[routes]\nfile = \"rules.toml\"\n\
+             [group]\nlisten = \"{}:{}\"\nfolder = \"group\"\n{form}[group.members]\n{}",
             self.host,
-            7200 + i,
+            LINK + i,
             members.collect::<String>()
         );
         std::fs::write(self.home(i).join("operator.toml"), text).unwrap();
@@ -215,7 +315,7 @@
 
     /// Where P's link listens, not by a relay.
     pub fn link(&self, i: usize) -> String {
-        format!("{}:{}", self.host, 7200 + i)
+        format!("{}:{}", self.host, LINK + i)
     }
 
     pub fn home(&self, i: usize) -> PathBuf {
@@ -223,7 +323,16 @@
     }
 
     pub fn command(&self, i: usize) -> Command {
-        let mut program = Command::new(env!("CARGO_BIN_EXE_driftgap"));
+        let mut program = match self.room[i] {
+            0 => Command::new(&self.program),
+            // A write that is too much fails as on a full disk, rather than by a signal.
+            blocks => {
+                let mut shell = Command::new("sh");
+                let line = format!("trap '' XFSZ; ulimit -f {blocks}; exec \"$0\" \"$@\"");
+                shell.arg("-c").arg(line).arg(&self.program);
+                shell
+            }
+        };
         program
             .env("EDGE_CONFIG", self.home(i).join("config.json"))
             .env("DRIFTGAP_OPERATOR", self.home(i).join("operator.toml"));
@@ -231,6 +340,11 @@
     }
 
     fn start(&mut self, i: usize) {
+        if let Some(program) = &mut self.programs[i] {
+            if program.try_wait().unwrap().is_none() {
+                return;
+            }
+        }
         let log = std::fs::File::options().create(true).append(true).open(self.home(i).join("log")).unwrap();
         let program = self.command(i).stdout(Stdio::null()).stderr(log).spawn().unwrap();
         self.programs[i] = Some(program);
@@ -243,13 +357,17 @@
 
     /// An operator's call and its answer; empty: there was none.
     pub async fn call(&self, i: usize, text: &str) -> String {
-        call(format!("{}:{}", self.host, 7100 + i), text.to_string()).await
+        call(format!("{}:{}", self.host, CALLS + i), text.to_string()).await
     }
 
     /// Sends commands at P without an end, each once the last has its one answer; how many have been answered.
     pub fn steady(&self, i: usize) -> Rc<Cell<u64>> {
         let answered = Rc::new(Cell::new(0));
-        let (count, at) = (answered.clone(), format!("{}:{}", self.host, 7000 + i));
+        if self.wire == Wire::Http2 {
+            spawn_local(steady_http2(format!("{}:{}", self.host, HTTP2 + i), i, answered.clone()));
+            return answered;
+        }
+        let (count, at) = (answered.clone(), format!("{}:{}", self.host, FRONT + i));
         spawn_local(async move {
             let Ok(mut stream) = TcpStream::connect(at).await else { return };
             let mut reader = Vec::new();
@@ -285,7 +403,7 @@
 
     /// A call that can be waited for elsewhere.
     pub fn calling(&self, i: usize, text: String) -> impl Future<Output = String> + 'static {
-        call(format!("{}:{}", self.host, 7100 + i), text)
+        call(format!("{}:{}", self.host, CALLS + i), text)
     }
 
     /// A value of `GROUP STATUS`, as `leader`.
@@ -382,7 +500,7 @@
                 assert!(answer.starts_with(rest[1]), "{line}: {answer}{}", self.logs());
             }
             "begin" => {
-                let at = format!("{}:{}", self.host, 7100 + ids[0]);
+                let at = format!("{}:{}", self.host, CALLS + ids[0]);
                 self.begun = Some(spawn_local(call(at, tail(1))));
             }
             "ended" => {
@@ -457,14 +575,42 @@
             "cut" => self.set_link(ids[0], ids[1], Link::Cut),
             "mute" => self.set_link(ids[0], ids[1], Link::Mute),
             "torn" => self.set_link(ids[0], ids[1], Link::Torn),
+            "jitter" => self.set_link(ids[0], ids[1], Link::Jitter(rest[2].parse().unwrap())),
+            "throttle" => self.set_link(ids[0], ids[1], Link::Throttle(rest[2].parse().unwrap())),
+            "half" => self.set_link(ids[0], ids[1], Link::Half),
+            "form" => {
+                self.forms[ids[0]] = Some(rest[1].parse().unwrap());
+                self.settle(ids[0], &(0..self.members).collect::<Vec<_>>());
+            }
+            "full" => self.room[ids[0]] = rest[1].parse().unwrap(),
+            "answers" => {
+                let (want, ask) = line.split_once(" : ").expect("a text and a call");
+                let want = want.split_once(' ').and_then(|(_, w)| w.split_once(' ')).unwrap().1;
+                self.until(line, async || {
+                    let answer = self.call(ids[0], ask).await;
+                    if answer.contains(want) {
+                        Ok(())
+                    } else {
+                        Err(answer)
+                    }
+                })
+                .await;
+            }
             "slow" => self.set_link(ids[0], ids[1], Link::Slow(rest[2].parse().unwrap())),
-            "split" => (0..self.size).filter(|j| *j != ids[0]).for_each(|j| {
-                self.set_link(ids[0], j, Link::Cut);
-                self.set_link(j, ids[0], Link::Cut);
-            }),
+            "split" => {
+                let both = |way: &(usize, usize)| way.0 == ids[0] || way.1 == ids[0];
+                let mut links = self.links.borrow_mut();
+                links.iter_mut().filter(|(way, _)| both(way)).for_each(|(_, link)| *link = Link::Cut);
+            }
             "heal" => self.links.borrow_mut().values_mut().for_each(|link| *link = Link::Sound),
             "refused" => {
-                let out = self.command(ids[0]).output().unwrap();
+                let mut second = self.command(ids[0]).stderr(Stdio::piped()).spawn().unwrap();
+                let began = Instant::now();
+                while second.try_wait().unwrap().is_none() && began.elapsed() < LONG {
+                    sleep(Duration::from_millis(5)).await;
+                }
+                let _ = second.kill();
+                let out = second.wait_with_output().unwrap();
                 let said = String::from_utf8_lossy(&out.stderr).to_string();
                 let last = said.lines().last().unwrap_or("");
                 assert!(out.status.code() == Some(2) && last.contains(&tail(1)), "{line}: {said}");
@@ -477,7 +623,7 @@
                     id.len()
                 );
                 let mut stream =
-                    TcpStream::connect(format!("{}:{}", self.host, 7000 + ids[0])).await.unwrap();
+                    TcpStream::connect(format!("{}:{}", self.host, FRONT + ids[0])).await.unwrap();
                 stream.write_all(command.as_bytes()).await.unwrap();
                 let mut answer = Vec::new();
                 while !answer.ends_with(b"\r\n") || answer.starts_with(b"$") && !answer.ends_with(b"news\r\n")
@@ -494,6 +640,32 @@
     }
 }
 
+/// Commands over HTTP/2 without an end, each once the last has its one answer.
+async fn steady_http2(at: String, i: usize, answered: Rc<Cell<u64>>) {
+    let Ok(stream) = TcpStream::connect(at).await else { return };
+    let Ok((send, connection)) = h2::client::handshake(stream).await else { return };
+    spawn_local(connection);
+    loop {
+        let request = http::Request::post("http://ingress/commands/fetch-episode")
+            .header("api-customer", format!("{:016x}", answered.get() % 50))
+            .header("req-id", format!("s{i}-{}", answered.get()))
+            .header("api-plan", "national")
+            .header("req-deadline-ms", "2000")
+            .header("api-terms", "units=1,spread=1,first=0")
+            .body(())
+            .unwrap();
+        let Ok(mut ready) = send.clone().ready().await else { return };
+        let Ok((response, _)) = ready.send_request(request, true) else { return };
+        let Ok(response) = response.await else { return };
+        let mut body = response.into_body();
+        while let Some(Ok(part)) = body.data().await {
+            let _ = body.flow_control().release_capacity(part.len());
+        }
+        answered.set(answered.get() + 1);
+        sleep(Duration::from_millis(3)).await;
+    }
+}
+
 async fn call(at: String, text: String) -> String {
     let asked = async {
         let mut stream = TcpStream::connect(at).await?;
