--- a/tests/group.rs
+++ b/tests/group.rs
@@ -664,6 +664,41 @@
     });
 }
 
+#[test]
+fn a_member_and_a_follower_that_were_away_for_10_000_entries_catch_up() {
+    run(async {
+        let mut peers = Peers::set(3, 1).await;
+        for line in ["start 0 1 2 3", "whole 0 1 2", "says 3 member=m", "kill 2", "kill 3", "led 0 1"] {
+            peers.step(line).await;
+        }
+        peers.step("call leader ACK SUSPEND d").await;
+        for turn in 0..840 {
+            // Each name has its own order: one that is asked for twice at once may end either way.
+            let name = ["a", "b", "c"][turn % 3];
+            let calls = (0..12).map(|i| {
+                let call = if turn % 2 == 0 { "SUSPEND" } else { "RESTORE" };
+                tokio::task::spawn_local(peers.calling(i % 2, format!("{call} {name}")))
+            });
+            for call in calls.collect::<Vec<_>>() {
+                let answer = call.await.unwrap();
+                assert!(answer.starts_with("ACK"), "{turn}: {answer}");
+            }
+        }
+        let began = Instant::now();
+        let held = peers.call(0, "GROUP OUT").await;
+        let (place, held) = held.split_once(": ").unwrap();
+        let place: u64 = place.strip_prefix("ACK at ").unwrap().parse().unwrap();
+        assert!(place > 10_000, "{place}");
+        peers.step("start 2 3").await;
+        for i in [2, 3] {
+            peers.step(&format!("out {i} {held}")).await;
+            let applied: u64 = peers.status(i, "applied").await.unwrap().parse().unwrap();
+            assert!(applied >= place, "{applied} of {place}");
+        }
+        println!("{place} places: both have all after {:?}", began.elapsed());
+    });
+}
+
 #[test]
 fn slow_narrow_and_half_open_links_lose_no_promise() {
     play(
