--- a/crates/group/src/follower.rs
+++ b/crates/group/src/follower.rs
@@ -112,7 +112,7 @@
             number: 0,
             frames: VecDeque::new(),
             ended: Vec::new(),
-            changed: true,
+            changed: false,
         }
     }
 
@@ -143,9 +143,14 @@
         self.fails += 1;
         self.at = (self.at + 1) % self.order.len().max(1);
         // All that lost one member at one moment come at different ones; a round of members that all refuse is slow.
-        let spread = (hash(&self.name, &self.fails.to_string()) % 1000) as f64 / 1000.0;
-        let pause = AGAIN_MS.0 * f64::from(1u32 << self.fails.min(6));
-        self.due = now + pause.min(AGAIN_MS.1) * (0.5 + spread);
+        self.due = now + self.pause(AGAIN_MS, self.fails, self.fails);
+    }
+
+    /// Doubles with each of so many times from the first to the most, spread by half: every follower and every `turn` has
+    /// another one.
+    fn pause(&self, (first, most): (f64, f64), times: u32, turn: u32) -> f64 {
+        let spread = (hash(&self.name, &turn.to_string()) % 1000) as f64 / 1000.0;
+        (first * f64::from(1u32 << times.min(6))).min(most) * (0.5 + spread)
     }
 
     /// Whether the link has been silent for too long.
@@ -168,9 +173,7 @@
         self.left += 1;
         // Each member is tried at once; when none is any better, there is no majority, and no hurry.
         if let Some(rounds) = self.left.checked_sub(self.order.len() as u32) {
-            let spread = 0.5 + (hash(&self.name, &self.left.to_string()) % 1000) as f64 / 1000.0;
-            let pause = ROUND_MS.0 * f64::from(1u32 << rounds.min(6));
-            self.stays = now + pause.min(ROUND_MS.1) * spread;
+            self.stays = now + self.pause(ROUND_MS, rounds, self.left);
         }
         true
     }
--- a/crates/group/src/member.rs
+++ b/crates/group/src/member.rs
@@ -6,7 +6,6 @@
 use crate::record::{Batch, EntryRecord, HardRecord, MessageRecord, SnapshotRecord};
 use crate::state::{Asked, OpId, Outcome, State, Wish};
 use crate::{mirror::Mirror, FORMS, LEAST_MEMBERS};
-use protobuf::Message as _;
 use raft::eraftpb::{
     ConfChange, ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message,
     MessageType, Snapshot,
@@ -268,7 +267,8 @@
 /// A batch on its way to the disk, and what waits for it.
 struct Writing {
     number: u64,
-    restored: Option<Snapshot>,
+    /// A state that came from another member; none in it: it cannot be read.
+    restored: Option<(Snapshot, Option<State>)>,
     messages: Vec<Message>,
 }
 
@@ -443,18 +443,21 @@
         self.speaks.insert(name.into(), newest);
     }
 
+    /// The newest form that an ingress's program is known to speak.
+    fn speaks(&self, name: &str) -> u16 {
+        match name == self.settings.name {
+            true => self.settings.newest,
+            false => self.speaks.get(name).copied().unwrap_or(FORMS.0),
+        }
+    }
+
     /// Raises the group's form once every member is known to speak a newer one: until then all that goes into the log
     /// is what the oldest program among them can carry out.
     fn raise(&mut self, now: f64) {
-        let own = (self.settings.name.as_str(), self.settings.newest);
-        let speaks = |name: &str| match name == own.0 {
-            true => own.1,
-            false => self.speaks.get(name).copied().unwrap_or(FORMS.0),
-        };
         // One that is down may come back as an older program.
         let here = |id: &u64| self.spoke.get(id).is_some_and(|at| now - at < SILENT_MS) || *id == self.id();
         let members = self.state.members.iter().filter(|(_, m)| !m.gone);
-        let common = members.map(|(id, m)| if here(id) { speaks(&m.name) } else { FORMS.0 }).min();
+        let common = members.map(|(id, m)| if here(id) { self.speaks(&m.name) } else { FORMS.0 }).min();
         let common = common.unwrap_or(FORMS.0);
         let due = self.raised.is_none_or(|at| now - at > RAISE_MS);
         if self.leads() && due && common > self.state.form() && self.conf.voters.len() >= LEAST_MEMBERS {
@@ -573,7 +576,7 @@
             return Some(id);
         }
         // An older program could not carry out what the log may hold by now.
-        if self.speaks.get(name).copied().unwrap_or(FORMS.0) < self.state.form() {
+        if self.speaks(name) < self.state.form() {
             return None;
         }
         let invited = self.state.invited.get(name).map(|i| &i.address);
@@ -614,10 +617,14 @@
         let mut batch = Batch::default();
         let mirror = self.node.mut_store();
         let restored = (!ready.snapshot().is_empty()).then(|| ready.snapshot().clone());
-        if let Some(snapshot) = &restored {
+        let restored = restored.map(|snapshot| {
+            let state = State::decode(&snapshot.data);
+            (snapshot, state)
+        });
+        if let Some((snapshot, state)) = &restored {
             mirror.restore(snapshot);
             batch.restored = Some(snapshot.into());
-            batch.form = State::decode(&snapshot.data).map(|state| state.form());
+            batch.form = state.as_ref().map(State::form);
         }
         if !mirror.append(ready.entries()) {
             self.lost = Some(Lost::Gap);
@@ -701,8 +708,8 @@
     /// The batch is on the disk.
     pub fn written(&mut self, now: f64) {
         let Some(Writing { number, restored, messages }) = self.writing.take() else { return };
-        if let Some(snapshot) = restored {
-            match State::decode(&snapshot.data) {
+        if let Some((snapshot, state)) = restored {
+            match state {
                 Some(state) if state.form() > self.settings.newest => {
                     self.lost = Some(Lost::Form(state.form()));
                 }
@@ -755,26 +762,33 @@
                     }
                 }
                 EntryType::EntryConfChange => {
-                    let mut change = ConfChange::default();
-                    if change.merge_from_bytes(&entry.data).is_ok() {
-                        let conf = self.node.apply_conf_change(&change);
-                        self.changed(conf);
-                        members = true;
-                    }
+                    members |=
+                        self.reconfigure(&entry.data, |node, c: &ConfChange| node.apply_conf_change(c));
                 }
                 EntryType::EntryConfChangeV2 => {
-                    let mut change = ConfChangeV2::default();
-                    if change.merge_from_bytes(&entry.data).is_ok() {
-                        let conf = self.node.apply_conf_change(&change);
-                        self.changed(conf);
-                        members = true;
-                    }
+                    members |=
+                        self.reconfigure(&entry.data, |node, c: &ConfChangeV2| node.apply_conf_change(c));
                 }
             }
         }
         members
     }
 
+    /// Carries out a change of who votes; true: it was one.
+    fn reconfigure<C: protobuf::Message>(
+        &mut self,
+        data: &[u8],
+        apply: impl FnOnce(&mut RawNode<Mirror>, &C) -> raft::Result<ConfState>,
+    ) -> bool {
+        let mut change = C::new();
+        if change.merge_from_bytes(data).is_err() {
+            return false;
+        }
+        let conf = apply(&mut self.node, &change);
+        self.changed(conf);
+        true
+    }
+
     fn changed(&mut self, conf: raft::Result<ConfState>) {
         // The library judged it when it was proposed; one that it refuses now changes nothing on any member.
         let Ok(conf) = conf else { return };
--- a/crates/group/src/peer.rs
+++ b/crates/group/src/peer.rs
@@ -30,7 +30,12 @@
 }
 
 enum Place {
-    Waiting { nonce: u64, admitted: Option<(u64, u64)> },
+    /// With the newest form that each other one has said to speak, for the member that it becomes.
+    Waiting {
+        nonce: u64,
+        admitted: Option<(u64, u64)>,
+        speaks: BTreeMap<String, u16>,
+    },
     Sitting(Box<Member>),
 }
 
@@ -46,14 +51,12 @@
     frames: Vec<(String, Frame)>,
     fans: Fans,
     events: Vec<Event>,
-    /// The newest form that each other one has said to speak.
-    speaks: BTreeMap<String, u16>,
 }
 
 impl Peer {
     /// With an empty folder, told from every other by the nonce.
     pub fn waiting(settings: Settings, nonce: u64) -> Peer {
-        Peer::new(settings, Place::Waiting { nonce, admitted: None })
+        Peer::new(settings, Place::Waiting { nonce, admitted: None, speaks: BTreeMap::new() })
     }
 
     /// With what its folder holds.
@@ -70,8 +73,7 @@
         let (names, frames) = Default::default();
         let (fans, events) = Default::default();
         let (joined, told) = (f64::MIN, f64::MIN);
-        let speaks = BTreeMap::new();
-        Peer { settings, place, roads, names, joined, told, frames, fans, events, speaks }
+        Peer { settings, place, roads, names, joined, told, frames, fans, events }
     }
 
     /// The member; none: it has not been let in yet.
@@ -114,9 +116,9 @@
         if !self.others().contains_key(from) {
             return;
         }
-        self.speaks.insert(from.into(), newest);
-        if let Place::Sitting(member) = &mut self.place {
-            member.greeted(from, newest);
+        match &mut self.place {
+            Place::Sitting(member) => member.greeted(from, newest),
+            Place::Waiting { speaks, .. } => drop(speaks.insert(from.into(), newest)),
         }
     }
 
@@ -160,7 +162,7 @@
                 }
             }
             Frame::Admitted { group, id, nonce: of } => {
-                if let Place::Waiting { nonce, admitted } = &mut self.place {
+                if let Place::Waiting { nonce, admitted, .. } = &mut self.place {
                     if of == *nonce {
                         admitted.get_or_insert((group, id));
                     }
@@ -214,7 +216,7 @@
     /// [`Peer::done`].
     pub fn job(&mut self, now: f64) -> Option<Job> {
         match &mut self.place {
-            Place::Waiting { nonce, admitted } => {
+            Place::Waiting { nonce, admitted, .. } => {
                 admitted.map(|(group, id)| Job::Begin { group, id, nonce: *nonce })
             }
             Place::Sitting(member) => member.batch(now).map(|batch| Job::Write(Box::new(batch))),
@@ -228,10 +230,10 @@
     pub fn done(&mut self, now: f64) -> Result<(), Lost> {
         match &mut self.place {
             Place::Sitting(member) => member.written(now),
-            Place::Waiting { admitted: Some((group, id)), .. } => {
+            Place::Waiting { admitted: Some((group, id)), speaks, .. } => {
                 let loaded = Loaded::admitted(*group, *id);
                 let mut member = Member::new(self.settings.clone(), loaded, now)?;
-                self.speaks.iter().for_each(|(name, newest)| member.greeted(name, *newest));
+                speaks.iter().for_each(|(name, newest)| member.greeted(name, *newest));
                 self.place = Place::Sitting(Box::new(member));
             }
             Place::Waiting { .. } => {}
--- a/src/group/engine.rs
+++ b/src/group/engine.rs
@@ -27,7 +27,7 @@
     for job in jobs {
         let result = match job {
             Job::Begin { group, id, nonce } => {
-                let identity = Identity { format: 1, group, name: name.clone(), id, nonce };
+                let identity = Identity::new(group, &name, id, nonce);
                 store.begin(&identity, &Loaded::admitted(group, id))
             }
             Job::Write(batch) => store.write(&batch),
@@ -201,15 +201,17 @@
     /// Ends those that look sound and carry nothing, as after a fault on the way that told only the other side. Whether
     /// there were any.
     fn end_dead_links(&mut self) -> bool {
+        let now = self.now();
         let Place::In(peer) = &self.place else { return false };
-        let links = &mut self.links;
-        let dead = peer.unheard_by(self.began.elapsed().as_secs_f64() * 1e3);
-        let dead: Vec<String> = dead.into_iter().filter(|n| links.get(n).is_some_and(Link::is_old)).collect();
-        for name in &dead {
-            tracing::warn!(to = name, "is not heard over its link: made anew");
-            links.remove(name).inspect(Link::end);
+        let mut ended = false;
+        for name in peer.unheard_by(now) {
+            if self.links.get(&name).is_some_and(Link::is_old) {
+                tracing::warn!(to = name, "is not heard over its link: made anew");
+                self.links.remove(&name).inspect(Link::end);
+                ended = true;
+            }
         }
-        !dead.is_empty()
+        ended
     }
 
     /// A link to everybody who is in the group or awaited, and to nobody else.
--- a/src/group/follow.rs
+++ b/src/group/follow.rs
@@ -5,7 +5,7 @@
 use super::kept::{Keeping, Kept};
 use super::links::{connect, Counts, Outlet, Own};
 use super::{Ended, GroupSettings, Request, Seat, View};
-use driftgap_group::{Answered, Follower, Frame, Outcome, FORMS};
+use driftgap_group::{Answered, Copy, Follower, Frame, Outcome, FORMS};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +24,15 @@
     Down,
 }
 
+/// What the rest of the ingress sees of a copy.
+fn shown(copy: &Copy) -> View {
+    View {
+        out: Arc::new(copy.out.clone()),
+        documents: Arc::new(copy.documents.clone()),
+        applied: copy.applied,
+    }
+}
+
 pub(super) struct Following {
     settings: GroupSettings,
     who: Rc<Own>,
@@ -46,6 +55,7 @@
         view: watch::Sender<View>,
     ) -> std::io::Result<Following> {
         let copy = kept.as_ref().and_then(Kept::load).unwrap_or_default();
+        view.send_replace(shown(&copy));
         let members = settings.members.keys().map(String::as_str);
         let follower = Follower::new(&name, origin, members, copy, 0.0);
         Ok(Following {
@@ -84,8 +94,7 @@
             self.follower.pass(now);
             if self.follower.leaves(now) {
                 tracing::info!("the member's copy is old: follows another one");
-                self.task.take().inspect(AbortHandle::abort);
-                self.outlet = None;
+                self.end_link();
             }
             if now - self.logged > FIGURES_MS {
                 self.logged = now;
@@ -108,13 +117,17 @@
         }
     }
 
+    /// Ends the link, if there is one.
+    fn end_link(&mut self) -> bool {
+        self.outlet = None;
+        self.task.take().inspect(AbortHandle::abort).is_some()
+    }
+
     fn drop_link(&mut self) {
         let now = self.now();
-        if let Some(task) = self.task.take() {
-            task.abort();
+        if self.end_link() {
             self.follower.broken(now);
         }
-        self.outlet = None;
     }
 
     fn take(&mut self, line: Line) {
@@ -139,11 +152,7 @@
         if self.follower.changed() {
             let copy = self.follower.copy();
             self.keeping.iter().for_each(|keeping| keeping.put(copy.clone()));
-            self.view.send_replace(View {
-                out: Arc::new(copy.out.clone()),
-                documents: Arc::new(copy.documents.clone()),
-                applied: copy.applied,
-            });
+            self.view.send_replace(shown(copy));
         }
         for (number, answered) in self.follower.ended() {
             let Some(answer) = self.waiting.remove(&number) else { continue };
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -291,7 +291,7 @@
     let address = settings.members.get(name).ok_or_else(|| GroupError::Name(name.into()))?.to_string();
     let mut store = Store::open(&folder.join(settings.folder(name)?))?;
     let (group, nonce) = (fresh(), fresh());
-    let identity = Identity { format: 1, group, name: name.into(), id: 1, nonce };
+    let identity = Identity::new(group, name, 1, nonce);
     store.begin(&identity, &driftgap_group::Loaded::first(group, name, &address, nonce))?;
     Ok(group)
 }
@@ -318,7 +318,7 @@
     let (group, nonce) = (fresh(), fresh());
     let loaded = old.load()?.recover(group, name, &address, nonce);
     let (loaded, agreed, last) = loaded.map_err(|e| StoreError::Disk(e.to_string()))?;
-    let identity = Identity { format: 1, group, name: name.into(), id: loaded.id, nonce };
+    let identity = Identity::new(group, name, loaded.id, nonce);
     store.begin(&identity, &loaded)?;
     Ok(format!(
         "group {group:x} begins with {name} and all that its old folder held, {agreed} places known as agreed and {} \
--- a/src/group/store.rs
+++ b/src/group/store.rs
@@ -35,6 +35,13 @@
     pub nonce: u64,
 }
 
+impl Identity {
+    /// A new folder's.
+    pub fn new(group: u64, name: &str, id: u64, nonce: u64) -> Identity {
+        Identity { format: 1, group, name: name.into(), id, nonce }
+    }
+}
+
 /// Why a folder cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -359,7 +366,7 @@
     }
 
     fn identity() -> Identity {
-        Identity { format: 1, group: 7, name: "m0".into(), id: 1, nonce: 1 }
+        Identity::new(7, "m0", 1, 1)
     }
 
     fn batch(index: u64, rand: &mut Rand64) -> Batch {
