Group: no two voters draw the same election time in one term

Ruled out: links (both up) and the disk (no batch waited). At fault: Member::settle, which drew one of ten steps for each member by itself, so two of three drew the same one in a tenth of the terms. Safety rests on no time.

--- a/crates/group/src/member.rs
+++ b/crates/group/src/member.rs
@@ -815,7 +815,12 @@
     fn settle(&mut self, now: f64) {
         let raft = &mut self.node.raft;
         let least = self.settings.election as u64;
-        let drawn = mixed([self.settings.seed, raft.id, raft.term, raft.state as u64]) % least;
+        // Each voter draws from a part of its own, turned with the term: two that seek votes at once get none.
+        let voters = (self.conf.voters.len() as u64).clamp(1, least);
+        let place = self.conf.voters.iter().filter(|id| **id < raft.id).count() as u64;
+        let part = least / voters;
+        let drawn = mixed([self.settings.seed, raft.id, raft.term, raft.state as u64]) % part;
+        let drawn = (place + raft.term) % voters * part + drawn;
         raft.set_randomized_election_timeout((least + drawn) as usize);
         if raft.state == StateRole::Leader {
             self.led.get_or_insert(now);
