--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -1,86 +1,27 @@
-//! The long polls that follow the name table at its agent. It owns the one connection to the agent, the version
-//! held and the back-off. It must never leave more than 200 ms between an answer and the next poll, or give up
-//! the last list for an answer that makes no sense.
+//! The long polls that follow the name table at its agent. It owns the one connection to the agent and the version
+//! held; `pace` says when it calls. It must never leave more than 200 ms between an answer and the next poll, or
+//! give up the last list for an answer that makes no sense.
+
+mod pace;
 
 use crate::api::{HostState, ListKind};
+use crate::clock::Clock;
 use crate::hub::Hub;
 use crate::ring::Ring;
 use crate::wire::{http_answer, http_answer_at_end, HttpAnswer, Parsed};
+use pace::{Failures, Pace};
 use serde_json::Value;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
-
-/// How often an ingress asks, and for how long it waits: all that bounds the age of its list, ms.
-///
-/// Where lists are pushed the agent is of this machine, answers at once and costs nothing, so asking is short and
-/// often. Where they come on request discovery is one service for the whole fleet, takes its calls in turn, and also
-/// works on those that have been given up: calls that come faster than it works keep it overbooked for good.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Pace {
-    /// A watch waits so long for news.
-    watch: f64,
-    /// An answer to a watch that is later than its wait by this will not come.
-    grace: f64,
-    /// Nor one to a call that is answered at once, by then.
-    answer: f64,
-    /// A connection that is not up by then will not come up.
-    dial: f64,
-    /// The back-off after the first failure, and the longest; either is spread by half of it.
-    back_off: (f64, f64),
-    /// The first call of a process that holds a list comes within this.
-    first: f64,
-}
+use tokio::time::{timeout, timeout_at};
 
-/// Pushed lists.
-const PUSHED: Pace =
-    Pace { watch: 2000.0, grace: 500.0, answer: 500.0, dial: 300.0, back_off: (20.0, 100.0), first: 0.0 };
-/// On request: so long for what comes behind a watch's wait, for an answer and for a connection.
-const GRACE_MS: f64 = 1000.0;
-const ANSWER_MS: f64 = 2000.0;
-const DIAL_MS: f64 = 500.0;
-/// Ingresses up to which discovery is asked at once, and for each of them the first back-off, ms.
-const FEW: f64 = 10.0;
-const BACK_OFF: f64 = 10.0;
-/// For each further one, ms: it leaves discovery this long for a call.
-const EACH: f64 = 200.0;
-/// Part of discovery's time that watches opened anew take, and the range of a watch's wait, ms.
-const RENEWALS: f64 = 0.6;
-const WATCH: (f64, f64) = (2000.0, 20_000.0);
-/// The longest back-off lies within these, ms.
-const LONGEST: (f64, f64) = (500.0, 10_000.0);
-/// The first call waits no longer, ms: what is new counts as told 6 s after the start.
-const FIRST: f64 = 4500.0;
 /// A call that is to be answered at once waits this long for news, ms.
 const AT_ONCE_MS: f64 = 1.0;
 
-impl Pace {
-    fn of(on_request: bool, gateways: u32) -> Pace {
-        if !on_request {
-            return PUSHED;
-        }
-        let all = f64::from(gateways.max(1));
-        let first = BACK_OFF * all.min(FEW) + EACH / 2.0 * (all - FEW).max(0.0);
-        Pace {
-            watch: (EACH * all / RENEWALS).clamp(WATCH.0, WATCH.1),
-            grace: GRACE_MS,
-            answer: ANSWER_MS,
-            dial: DIAL_MS,
-            back_off: (first, (5.0 * first).clamp(LONGEST.0, LONGEST.1)),
-            first: (EACH * (all - FEW)).clamp(0.0, FIRST),
-        }
-    }
-
-    /// How long to wait after so many failures in a row, ms; `luck` from 0 to 1 spreads the ingresses over time.
-    fn back_off(&self, fails: u32, luck: f64) -> f64 {
-        let (first, longest) = self.back_off;
-        (first * f64::from(1u32 << fails.min(16))).min(longest) * (0.5 + luck)
-    }
-}
-
 /// One connection to the agent.
 struct Poll {
     stream: TcpStream,
@@ -129,40 +70,54 @@
 /// all ingresses of a fleet at their start, is what an overbooked discovery can bear least.
 pub async fn follow(hub: Rc<Hub>, agent: SocketAddr, mut version: Option<u64>, seed: u64) {
     let settings = &hub.platform().module;
-    let pace = Pace::of(settings.list_on_request, settings.gateways);
-    let (mut fails, mut poll, mut dice) = (0, None, oorandom::Rand32::new(seed));
+    let pace = Pace::of(settings.list_on_request, settings.gateways, settings.position);
+    let (mut failures, mut poll, mut dice) = (Failures::default(), None, oorandom::Rand32::new(seed));
     let mut complained = false;
     if version.is_some() {
-        sleep(pace.first * f64::from(dice.rand_float())).await;
+        let first = pace.first_call(hub.now(), f64::from(dice.rand_float()));
+        sleep_until(hub.clock(), first).await;
     }
     loop {
         // Guards against an old list behind an agent that says nothing: as long as it has not answered, every call
         // is to be answered at once, so that silence is told from a want of news.
-        let wait = if fails == 0 { pace.watch } else { AT_ONCE_MS };
-        let result = step(&mut poll, agent, version, wait, &pace).await;
+        let watches = failures.count == 0 && version.is_some();
+        let wait = if watches { pace.watch } else { AT_ONCE_MS };
+        let began = hub.now();
+        let turn = pace.turns().filter(|_| !watches).map(|turns| turns.next(began + pace.answer));
+        let result = step(&mut poll, agent, version, wait, &pace);
+        let result = match turn {
+            Some(turn) => until(hub.clock(), turn, result).await,
+            None => result.await,
+        };
+        let refused = !watches && result.as_ref().is_ok_and(|answer| answer.status != OK);
         match result.and_then(|answer| take(&hub, &answer)) {
             Ok(news) => {
                 version = Some(news);
-                fails = 0;
+                failures = Failures::default();
                 complained = false;
             }
             Err(problem) => {
                 // The last watch fell silent: each ingress sees so at the end of its own, so they come one by one.
-                let silent = fails == 0 && version.is_some() && problem == SILENT;
+                let silent = watches && problem == SILENT;
                 if !complained {
                     tracing::warn!(%agent, problem, "discovery; the last list stays");
                 }
                 complained = true;
                 poll = None;
-                if !silent {
-                    sleep(pace.back_off(fails, f64::from(dice.rand_float()))).await;
+                let now = hub.now();
+                failures.add(refused.then_some(now - began));
+                let turn_has_come = !refused && turn.is_some_and(|turn| now >= turn);
+                if !silent && !turn_has_come {
+                    let again = pace.again(now, failures, f64::from(dice.rand_float()));
+                    sleep_until(hub.clock(), again).await;
                 }
-                fails += 1;
             }
         }
     }
 }
 
+/// The status of an answer that brings a list.
+const OK: u16 = 200;
 /// A call that was not answered in time.
 const SILENT: &str = "no answer";
 
@@ -170,8 +125,19 @@
     Duration::from_secs_f64(ms / 1e3)
 }
 
-async fn sleep(ms: f64) {
-    tokio::time::sleep(span(ms)).await;
+/// Sleeps until the clock shows this.
+async fn sleep_until(clock: &Clock, ms: f64) {
+    tokio::time::sleep_until(clock.instant(ms).into()).await;
+}
+
+/// The result of a call that is given up when the clock shows this.
+async fn until(
+    clock: &Clock,
+    ms: f64,
+    call: impl Future<Output = Result<HttpAnswer, String>>,
+) -> Result<HttpAnswer, String> {
+    let result = timeout_at(clock.instant(ms).into(), call).await;
+    result.unwrap_or_else(|_| Err(SILENT.to_string()))
 }
 
 fn watch(version: u64, wait: f64) -> String {
@@ -193,13 +159,23 @@
         *poll = Some(Poll { stream, ring: Ring::new(8 * 1024 * 1024) });
     }
     let Some(connection) = poll.as_mut() else { return Err("no connection".into()) };
-    let (path, within) = match version {
-        None => ("/api/targets".to_string(), pace.answer),
-        Some(v) if wait > AT_ONCE_MS => (watch(v, wait), wait + pace.grace),
-        Some(v) => (watch(v, wait), wait + pace.answer),
+    let path = match version {
+        None => "/api/targets".to_string(),
+        Some(v) => watch(v, wait),
+    };
+    let within = match version {
+        Some(_) if wait > AT_ONCE_MS => Some(wait + pace.grace),
+        // In turns the call lasts until the next one, and its caller gives it up then.
+        _ if pace.turns().is_some() => None,
+        Some(_) => Some(wait + pace.answer),
+        None => Some(pace.answer),
+    };
+    let answer = call(connection, &path, agent);
+    let answer = match within {
+        Some(within) => timeout(span(within), answer).await.map_err(|_| SILENT.to_string())?,
+        None => answer.await,
     };
-    let answer = timeout(span(within), call(connection, &path, agent)).await;
-    let answer = answer.map_err(|_| SILENT.to_string())?.map_err(|e| e.to_string())?;
+    let answer = answer.map_err(|e| e.to_string())?;
     if answer.close {
         *poll = None;
     }
@@ -207,7 +183,7 @@
 }
 
 fn take(hub: &Rc<Hub>, answer: &HttpAnswer) -> Result<u64, String> {
-    if answer.status != 200 {
+    if answer.status != OK {
         return Err(format!("status {}", answer.status));
     }
     let value: Value = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
