Group: an ingress that is not let in passes no frames on, so that its links stay up

Cause: an ingress with an empty folder greets as incarnation 0, and members end such a link at any frame that only a member may send. It passed `Hears` of one member on to the others all the same (and would have passed `Round` on). So once two members were in, the third was refused within 150 ms of each connection ("link refused: speaks in another's name", six times at each of the other two within 4 s in a play with real processes), waited up to 1 s to connect again, and its request to be let in, sent every 500 ms, was lost wherever it met a link that was down.

Reproduced in virtual time: the world of the group's tests now ends a run at a frame that a real link refuses.

Change: `Peer::pass_on` sends nothing without an incarnation. What a link may carry stands once, as `Frame::is_allowed_from`, for the links and for the tests.

The two new ones: one seen to fail without the change, one a table of what is allowed.

--- a/crates/group/src/frame.rs
+++ b/crates/group/src/frame.rs
@@ -170,6 +170,21 @@
 }
 
 impl Frame {
+    /// Whether a link may carry this whose sender has greeted as this incarnation; 0: as none, which is a follower, or
+    /// an ingress that has not been let in.
+    pub fn is_allowed_from(&self, incarnation: u64) -> bool {
+        let is_member = incarnation != 0;
+        match self {
+            Frame::Raft(message) => is_member && message.from == incarnation,
+            Frame::Admitted { .. } | Frame::Hears { .. } => is_member,
+            Frame::Round(_) | Frame::Passed(_) => is_member,
+            Frame::Follow { .. } | Frame::Ask { .. } => !is_member,
+            // Members send these to followers, on the connection that the follower has opened.
+            Frame::Answer { .. } | Frame::Copy { .. } => false,
+            Frame::Join { .. } | Frame::Idle => true,
+        }
+    }
+
     /// The bytes to be sent.
     pub fn bytes(&self) -> Vec<u8> {
         framed(self)
--- a/crates/group/src/peer.rs
+++ b/crates/group/src/peer.rs
@@ -138,14 +138,15 @@
             Frame::Idle => {}
             Frame::Raft(message) | Frame::Passed(message) => self.take(now, message),
             Frame::Round(message) => match self.name_of(message.to) {
-                Some(to) if to != self.settings.name => self.frames.push((to, Frame::Passed(message))),
+                Some(to) if to != self.settings.name => self.pass_on(to, Frame::Passed(message)),
                 _ => self.take(now, message),
             },
             Frame::Hears { of, hears } => {
                 if of == from {
                     let frame = Frame::Hears { of: of.clone(), hears: hears.clone() };
-                    let others = self.others().into_keys().filter(|name| name != from);
-                    self.frames.extend(others.map(|name| (name, frame.clone())));
+                    for to in self.others().into_keys().filter(|name| name != from) {
+                        self.pass_on(to, frame.clone());
+                    }
                 }
                 if of != self.settings.name {
                     self.roads.told(now, &of, hears);
@@ -171,6 +172,14 @@
         }
     }
 
+    /// Sends another member's frame on. Without an incarnation it must not: the link, and with it the request to be let
+    /// in, would end.
+    fn pass_on(&mut self, to: String, frame: Frame) {
+        if self.member().is_some() {
+            self.frames.push((to, frame));
+        }
+    }
+
     fn take(&mut self, now: f64, message: MessageRecord) {
         if let Place::Sitting(member) = &mut self.place {
             member.hear(now, message);
--- /dev/null
+++ b/crates/group/tests/waiting.rs
@@ -0,0 +1,70 @@
+//! An ingress with an empty folder, until it is let in: its links have greeted as no member, and are ended by a frame
+//! that only members may send.
+
+use driftgap_group::{Frame, Loaded, MessageRecord, Peer, Settings};
+use std::collections::BTreeMap;
+
+fn settings(name: &str) -> Settings {
+    let members = ["m0", "m1", "m2"].map(|member| (member.to_string(), format!("10.0.0.{}:1", &member[1..])));
+    Settings::new(name, 1, BTreeMap::from(members))
+}
+
+/// What a member sends that seeks votes.
+fn message_to_m1() -> MessageRecord {
+    let mut loaded = Loaded::first(77, "m0", "10.0.0.0:1", 1);
+    loaded.snapshot.conf.voters = vec![1, 2, 3];
+    let mut candidate = Peer::sitting(settings("m0"), loaded, 0.0).unwrap();
+    candidate.hear(0.0, "m1", 2, Frame::Idle);
+    for now in (0..10_000).step_by(50).map(f64::from) {
+        candidate.pass(now);
+        while candidate.job(now).is_some() {
+            candidate.done(now).unwrap();
+        }
+        for (to, frame) in candidate.frames(now) {
+            match frame {
+                Frame::Raft(message) if to == "m1" => return message,
+                _ => {}
+            }
+        }
+    }
+    panic!("it seeks no votes");
+}
+
+#[test]
+fn an_ingress_that_is_not_let_in_passes_nothing_on_and_asks_again() {
+    let mut waiting = Peer::waiting(settings("m2"), 9);
+    waiting.hear(0.0, "m1", 2, Frame::Idle);
+    waiting.hear(0.0, "m0", 1, Frame::Hears { of: "m0".into(), hears: vec!["m1".into()] });
+    waiting.hear(0.0, "m0", 1, Frame::Round(message_to_m1()));
+    let mut joins = Vec::new();
+    for now in [0.0, 250.0, 501.0] {
+        waiting.pass(now);
+        for (to, frame) in waiting.frames(now) {
+            assert!(frame.is_allowed_from(0), "{now} ms: to {to}: {frame:?}");
+            if frame == (Frame::Join { nonce: 9 }) {
+                joins.push((now, to));
+            }
+        }
+    }
+    let all = [0.0, 501.0].map(|now| ["m0", "m1"].map(|to| (now, to.to_string()))).concat();
+    assert_eq!(joins, all);
+}
+
+#[test]
+fn a_link_carries_only_what_its_sender_has_greeted_as() {
+    let message = message_to_m1();
+    let hears = Frame::Hears { of: "m0".into(), hears: Vec::new() };
+    for (frame, from_none, from_its_sender, from_another) in [
+        (Frame::Idle, true, true, true),
+        (Frame::Join { nonce: 1 }, true, true, true),
+        (Frame::Raft(message.clone()), false, true, false),
+        (Frame::Round(message.clone()), false, true, true),
+        (Frame::Passed(message), false, true, true),
+        (hears, false, true, true),
+        (Frame::Admitted { group: 77, id: 3, nonce: 1 }, false, true, true),
+        (Frame::Follow { have: Vec::new() }, true, false, false),
+    ] {
+        let allowed = [0, 1, 2].map(|incarnation| frame.is_allowed_from(incarnation));
+        assert_eq!(allowed, [from_none, from_its_sender, from_another], "{frame:?}");
+    }
+}
--- a/crates/group/tests/world/mod.rs
+++ b/crates/group/tests/world/mod.rs
@@ -224,6 +224,9 @@
                 }
                 let (from, to, id, frame) = self.net.pop_first().unwrap().1;
                 if self.nodes[to].up {
+                    // A real link ends at such a frame, and what waits behind it is lost.
+                    let allowed = frame.is_allowed_from(id);
+                    assert!(allowed, "seed {}: m{from} sends as incarnation {id}: {frame:?}", self.seed);
                     self.nodes[to].inbox.push((from, id, frame));
                 }
             }
--- a/src/group/links.rs
+++ b/src/group/links.rs
@@ -375,15 +375,7 @@
     let mut frames = Frames::default();
     let mut writer = Some(writer);
     while let Some(frame) = frames.next(&mut reader).await? {
-        let names = match &frame {
-            Frame::Raft(m) => hello.id != 0 && m.from == hello.id,
-            Frame::Admitted { .. } | Frame::Hears { .. } => hello.id != 0,
-            Frame::Round(_) | Frame::Passed(_) => hello.id != 0,
-            Frame::Follow { .. } | Frame::Ask { .. } => hello.id == 0,
-            Frame::Answer { .. } | Frame::Copy { .. } => false,
-            Frame::Join { .. } | Frame::Idle => true,
-        };
-        if !names {
+        if !frame.is_allowed_from(hello.id) {
             return Err("speaks in another's name".into());
         }
         let follows = matches!(frame, Frame::Follow { .. });
