Group: a start with a torn file waits for the first version that the group keeps

Nothing can be handed in to a group before three members vote, and a member whose wish was refused tries again after 500 ms; the test kills m1 within that time. Started again, m1 asks the group for its rules, the group answers that it holds none, and m1 ends with status 2, 160 ms after its start; the others hand theirs in a moment later.

32.214 member of the group id=2 entries=6 32.331 the group is led leader="m0" 32.373 the group has raised its form form=2 driftgap: routes: .../m1/rules.toml:1:8: unclosed array table, expected `]`

Change: `Group::document` waits up to 5 s for a first version where neither the group nor this ingress has one, and logs so. Where a version is known nothing is different. In a group that never gets one, a start with torn rules ends after 5 s and no longer at once. Members' logs in a failed play now say which processes run.

--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -29,8 +29,13 @@
 /// The group answers a call by itself before this; if not, its thread hangs on its disk.
 const PATIENCE: Duration = Duration::from_millis(2600);
 
-/// At a start the group's version of a file that is torn or missing is waited for so long.
-const AT_START: Duration = Duration::from_secs(5);
+/// At a start whose file is torn or missing the group's answer is waited for so long.
+const ANSWER_AT_START: Duration = Duration::from_secs(5);
+/// Then, where no version of that file is known, the first one is waited for so long: others hand theirs in within
+/// [`HAND_IN`] of when they can.
+const FIRST_VERSION_AT_START: Duration = Duration::from_secs(5);
+/// Between two questions at a start.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// What the group did not take is handed in again after this.
 const HAND_IN: Duration = Duration::from_millis(500);
 
@@ -224,19 +229,41 @@
         let _ = self.request(Request::Leave).await;
     }
 
-    /// The last version of a document: what the group says if it can be asked in time, else what is known here.
+    /// The last version of a document: what the group says if it can be asked in time, else what is known here. Where
+    /// neither has one, the first is waited for: nothing can be handed in before enough members vote, so a group that
+    /// has just come up answers before it keeps anything.
     pub async fn document(&self, kind: Kind) -> Option<Document> {
-        let asked = async {
-            while !matches!(self.read().await, Ended::Done(..)) {
-                tokio::time::sleep(HAND_IN / 5).await;
-            }
-        };
-        if tokio::time::timeout(AT_START, asked).await.is_err() {
+        if tokio::time::timeout(ANSWER_AT_START, self.answers()).await.is_err() {
             tracing::warn!(?kind, "the group cannot be asked: what is known here may be old");
         }
+        if let Some(known) = self.known(kind) {
+            return Some(known);
+        }
+        tracing::info!(?kind, "the group holds no version yet: waits for the first");
+        let first = tokio::time::timeout(FIRST_VERSION_AT_START, self.first_version(kind)).await;
+        if first.is_err() {
+            tracing::warn!(?kind, "the group has been given no version in time");
+        }
+        self.known(kind)
+    }
+
+    /// The last version of a document that is known here.
+    fn known(&self, kind: Kind) -> Option<Document> {
         self.view.borrow().documents.get(&kind).cloned()
     }
 
+    /// Back once the group has answered a read.
+    async fn answers(&self) {
+        while !matches!(self.read().await, Ended::Done(..)) {
+            tokio::time::sleep(ASK_AGAIN).await;
+        }
+    }
+
+    /// Back once a version of the document is known here, or never will be: the group's part has ended.
+    async fn first_version(&self, kind: Kind) {
+        let _ = self.view.clone().wait_for(|view| view.documents.contains_key(&kind)).await;
+    }
+
     /// Hands in what was accepted here, until the group has it or a later one. At a start the group's own is left as
     /// it is: a file that was forgotten on one machine is no news.
     pub async fn hand_in(self, kind: Kind, bytes: Vec<u8>, at_start: bool) {
@@ -248,7 +275,7 @@
             tokio::time::sleep(HAND_IN).await;
         }
         loop {
-            let held = self.view.borrow().documents.get(&kind).cloned();
+            let held = self.known(kind);
             match &held {
                 Some(held) if held.bytes == bytes => return,
                 Some(held) if at_start => {
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -275,6 +275,27 @@
     );
 }
 
+/// Nothing can be handed in before three members vote: one with torn files that is let in as the second finds a group
+/// that answers and holds no version of them yet.
+#[test]
+fn a_member_with_torn_files_waits_for_the_first_version_that_the_group_keeps() {
+    play(
+        3,
+        r#"file 0 inventory.csv name,address\nz1,127.0.0.1:9\n
+         file 1 inventory.csv name,address\nz1,127.0.0.1:
+         file 1 rules.toml [[rule]
+         file 2 inventory.csv name,address\nz1,127.0.0.1:9\n
+         start 0 1
+         says 0 m1:2:votes
+         runs 1 1000
+         start 2
+         logged 1 serves the group's last good rules
+         logged 1 serves the group's last good inventory
+         whole 0 1 2
+         call 1 ACK SUSPEND z1"#,
+    );
+}
+
 /// P's folder of the lost group begins a new one. Where the old folder is now, and what was said.
 fn recover(peers: &Peers, i: usize) -> (std::path::PathBuf, String) {
     let old = peers.home(i).join("old");
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -10,6 +10,7 @@
 //!     begin P TEXT                a call whose answer is waited for later
 //!     ended WORD                  that call's answer begins with the word (`either A or B`: with one of these)
 //!     kill P / freeze P / thaw P  SIGKILL, SIGSTOP, SIGCONT
+//!     runs P MS                   P runs, and still does after so long
 //!     term P                      SIGTERM, and it ends with status 0
 //!     wipe P                      its folder is gone
 //!     cut P Q / mute P Q          bytes from P to Q: connections end and none come up / all are swallowed
@@ -472,12 +473,20 @@
         }
     }
 
-    /// The ends of all logs, for whoever looks into a failure.
+    /// Whether P's process runs: one that has ended by itself is a zombie until it is waited for.
+    fn is_running(&self, i: usize) -> bool {
+        let Some(program) = &self.programs[i] else { return false };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", program.id())).unwrap_or_default();
+        status.lines().any(|line| line.starts_with("State:") && !line.contains("zombie"))
+    }
+
+    /// The ends of all logs and which processes run, for whoever looks into a failure.
     pub fn logs(&self) -> String {
         let end = |i: usize| {
             let text = std::fs::read_to_string(self.home(i).join("log")).unwrap_or_default();
             let lines: Vec<&str> = text.lines().collect();
-            format!("\n-- m{i}\n{}", lines[lines.len().saturating_sub(12)..].join("\n"))
+            let state = if self.is_running(i) { "runs" } else { "does not run" };
+            format!("\n-- m{i} {state}\n{}", lines[lines.len().saturating_sub(12)..].join("\n"))
         };
         (0..self.size).map(end).collect()
     }
@@ -617,6 +626,10 @@
                 };
                 assert!(status.success(), "{line}: {status}{}", self.logs());
             }
+            "runs" => {
+                sleep(Duration::from_millis(rest[1].parse().unwrap())).await;
+                assert!(self.is_running(ids[0]), "{line}: it has ended{}", self.logs());
+            }
             "freeze" => self.signal(ids[0], "-STOP"),
             "thaw" => self.signal(ids[0], "-CONT"),
             "wipe" => std::fs::remove_dir_all(self.home(ids[0]).join("group")).unwrap(),
