--- a/tests/ci.rs
+++ b/tests/ci.rs
@@ -53,6 +53,18 @@
     }
 }
 
+#[test]
+fn with_an_empty_or_absent_list_every_failure_counts() {
+    for (name, red) in [("blank", Some("")), ("absent", None)] {
+        let (passed, said) = judged(name, FAILED, 101, red);
+        assert!(!passed && said.contains("failed: a::one"), "{name}: {said}");
+        let (passed, said) = judged(name, PASSED, 0, red);
+        assert!(passed && !said.contains("KNOWN-RED"), "{name}: {said}");
+        assert!(!judged(name, ENDED, 101, red).0, "{name}: it does not come to its end");
+        assert!(!judged(name, PASSED, 101, red).0, "{name}: it does not compile, for one");
+    }
+}
+
 #[test]
 fn a_run_that_does_not_come_to_its_end_fails_whatever_is_known() {
     let red = "a::one: why: issue 32\n";
