Group: links end with typed errors, and refused ones are counted by cause

`LinkError` and `HelloError` take the place of strings in the links, with the texts as they were; the figures of every ten seconds have `refused_causes` beside `refused_links`, and the debug lines have `cause` and the address that a refused link came from.

--- a/crates/group/src/frame.rs
+++ b/crates/group/src/frame.rs
@@ -30,6 +30,26 @@
     Unknown,
 }
 
+/// Why a greeting, or the answer to it, is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HelloError {
+    /// Something else speaks at this address.
+    #[error("no link of this program")]
+    Foreign,
+    /// It means to reach a member of another name.
+    #[error("meant for another member")]
+    OtherMember,
+    /// It is of another group.
+    #[error("of another group")]
+    OtherGroup,
+    /// There is no form that both speak.
+    #[error("speaks no form that is known here")]
+    UnknownForm,
+    /// It cannot take part in what the group has agreed on.
+    #[error("an older program, or one kept to an older form, than the group has")]
+    OlderForm,
+}
+
 /// The first frame of whoever connects.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
@@ -69,22 +89,22 @@
     /// the newest that this member speaks. Followers see no log: the oldest form is enough for them.
     ///
     /// # Errors
-    /// What is wrong with it, in words.
-    pub fn judge(&self, forms: (u16, u16), group: u64, name: &str) -> Result<u16, &'static str> {
+    /// What is wrong with it.
+    pub fn judge(&self, forms: (u16, u16), group: u64, name: &str) -> Result<u16, HelloError> {
         if self.magic != MAGIC {
-            return Err("no link of this program");
+            return Err(HelloError::Foreign);
         }
         if self.to != name {
-            return Err("meant for another member");
+            return Err(HelloError::OtherMember);
         }
         if self.group != 0 && group != 0 && self.group != group {
-            return Err("of another group");
+            return Err(HelloError::OtherGroup);
         }
         if self.forms.1 < FORMS.0 || self.forms.0 > forms.1 {
-            return Err("speaks no form that is known here");
+            return Err(HelloError::UnknownForm);
         }
         if self.id != 0 && self.forms.1 < forms.0 {
-            return Err("an older program, or one kept to an older form, than the group has");
+            return Err(HelloError::OlderForm);
         }
         Ok(self.forms.1.min(forms.1))
     }
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -20,7 +20,9 @@
 mod state;
 
 pub use follower::{Copy, Follower};
-pub use frame::{read_frame, Answered, Frame, FrameError, Hello, Welcome, FORMS, MOST_FRAME, MOST_HELLO};
+pub use frame::{
+    read_frame, Answered, Frame, FrameError, Hello, HelloError, Welcome, FORMS, MOST_FRAME, MOST_HELLO,
+};
 pub use member::{Event, Health, Loaded, Lost, Member, MemberStatus, Role, Settings, Standing};
 pub use peer::{Job, Peer};
 pub use record::{Batch, ConfRecord, EntryRecord, HardRecord, MessageRecord, SnapshotRecord};
--- /dev/null
+++ b/src/group/link_error.rs
@@ -0,0 +1,117 @@
+//! Why a link between ingresses could not be made, or has ended: what is logged, and by which name it is counted.
+
+use driftgap_group::{FrameError, HelloError};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+/// Why a link could not be made, or has ended.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum LinkError {
+    /// The other side did not take the connection.
+    #[error("no connection in time")]
+    ConnectTimeout,
+    /// Who connected said nothing, or not all of it.
+    #[error("no greeting in time")]
+    GreetingTimeout,
+    /// Who connected said something else.
+    #[error("no greeting")]
+    NoGreeting,
+    /// The other side took the connection and said nothing.
+    #[error("no welcome in time")]
+    WelcomeTimeout,
+    /// The other side ended the connection instead of welcoming this one.
+    #[error("turned away")]
+    TurnedAway,
+    /// The other side is not whom this one can speak with.
+    #[error(transparent)]
+    Hello(#[from] HelloError),
+    /// Bytes that are no frame.
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    /// The sender's greeting does not allow it to send such a frame.
+    #[error("speaks in another's name")]
+    FrameNotAllowed,
+    /// A follower sent what only members send.
+    #[error("speaks as a member")]
+    FollowerFrameNotAllowed,
+    /// A frame that trickles in for too long.
+    #[error("a frame that does not end")]
+    FrameTimeout,
+    /// The connection ended within a frame.
+    #[error("torn within a frame")]
+    TornFrame,
+    /// Nothing came, not even that the link is there.
+    #[error("silent")]
+    ReadTimeout,
+    /// The other side took nothing of what was sent.
+    #[error("it reads nothing")]
+    WriteTimeout,
+    /// This side gave up a follower: it reads too slowly, or there are too many.
+    #[error("reads nothing, or one too many")]
+    FollowerDropped,
+    /// More links are open than may be.
+    #[error("too many links")]
+    TooManyLinks,
+    /// The other side ended the connection.
+    #[error("ended by the other side")]
+    Closed,
+    /// This ingress has been let in since it greeted.
+    #[error("let in meanwhile: greets anew")]
+    IncarnationChanged,
+    /// The system's.
+    #[error("{0}")]
+    System(#[from] std::io::Error),
+}
+
+impl LinkError {
+    /// The name by which it is counted.
+    pub(super) fn cause(&self) -> &'static str {
+        match self {
+            LinkError::ConnectTimeout => "connect_timeout",
+            LinkError::GreetingTimeout => "greeting_timeout",
+            LinkError::NoGreeting => "no_greeting",
+            LinkError::WelcomeTimeout => "welcome_timeout",
+            LinkError::TurnedAway => "turned_away",
+            LinkError::Hello(HelloError::Foreign) => "foreign",
+            LinkError::Hello(HelloError::OtherMember) => "other_member",
+            LinkError::Hello(HelloError::OtherGroup) => "other_group",
+            LinkError::Hello(HelloError::UnknownForm) => "unknown_form",
+            LinkError::Hello(HelloError::OlderForm) => "older_form",
+            LinkError::Frame(_) => "bad_frame",
+            LinkError::FrameNotAllowed => "frame_not_allowed",
+            LinkError::FollowerFrameNotAllowed => "follower_frame_not_allowed",
+            LinkError::FrameTimeout => "frame_timeout",
+            LinkError::TornFrame => "torn_frame",
+            LinkError::ReadTimeout => "read_timeout",
+            LinkError::WriteTimeout => "write_timeout",
+            LinkError::FollowerDropped => "follower_dropped",
+            LinkError::TooManyLinks => "too_many_links",
+            LinkError::Closed => "closed",
+            LinkError::IncarnationChanged => "incarnation_changed",
+            LinkError::System(_) => "system",
+        }
+    }
+}
+
+/// How many links were refused since the start, by cause.
+#[derive(Debug, Default)]
+pub(super) struct Refusals(RefCell<BTreeMap<&'static str, u64>>);
+
+impl Refusals {
+    /// Counts one.
+    pub(super) fn add(&self, error: &LinkError) {
+        *self.0.borrow_mut().entry(error.cause()).or_default() += 1;
+    }
+
+    /// Of all causes.
+    pub(super) fn total(&self) -> u64 {
+        self.0.borrow().values().sum()
+    }
+
+    /// As `cause=number`, for the log.
+    pub(super) fn by_cause(&self) -> String {
+        let counts = self.0.borrow();
+        let words: Vec<String> = counts.iter().map(|(cause, count)| format!("{cause}={count}")).collect();
+        words.join(" ")
+    }
+}
--- a/src/group/links.rs
+++ b/src/group/links.rs
@@ -3,7 +3,8 @@
 //! who has not said who it is, or let one link's trouble reach another.
 
 use super::follow::Line;
-use driftgap_group::{read_frame, Frame, Hello, Welcome, MOST_FRAME, MOST_HELLO};
+use super::link_error::{LinkError, Refusals};
+use driftgap_group::{read_frame, Frame, Hello, HelloError, Welcome, MOST_FRAME, MOST_HELLO};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,7 +60,7 @@
 /// Figures, for the log.
 #[derive(Debug, Default)]
 pub(super) struct Counts {
-    pub(super) refused: Cell<u64>,
+    pub(super) refused: Refusals,
     pub(super) dropped: Cell<u64>,
     pub(super) sent_bytes: Cell<u64>,
 }
@@ -100,8 +101,8 @@
     async fn pump(
         &self,
         writer: &mut (impl AsyncWriteExt + Unpin),
-        stays: impl Fn() -> Result<(), String>,
-    ) -> Result<(), String> {
+        stays: impl Fn() -> Result<(), LinkError>,
+    ) -> Result<(), LinkError> {
         loop {
             stays()?;
             let bytes = std::mem::take(&mut *self.queue.borrow_mut());
@@ -158,7 +159,7 @@
             loop {
                 let began = Instant::now();
                 if let Err(why) = carry(&kept, &who, &to, address).await {
-                    tracing::debug!(to, %address, why, "link");
+                    tracing::debug!(to, %address, cause = why.cause(), %why, "link");
                 }
                 kept.close();
                 let _ = news.send(News::Broken(to.clone())).await;
@@ -182,27 +183,27 @@
 }
 
 /// A connection to a member that has welcomed this one.
-async fn greeted(who: &Own, to: &str, address: SocketAddr) -> Result<(TcpStream, Welcome), String> {
+async fn greeted(who: &Own, to: &str, address: SocketAddr) -> Result<(TcpStream, Welcome), LinkError> {
     let connect = timeout(PATIENCE, TcpStream::connect(address)).await;
-    let mut stream = connect.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+    let mut stream = connect.map_err(|_| LinkError::ConnectTimeout)??;
     let _ = stream.set_nodelay(true);
     let group = who.group.get();
     let hello = Hello::new(who.newest, group, who.id.get(), &who.name, to).bytes();
     write(&mut stream, &hello).await?;
     let welcome: Welcome = timeout(PATIENCE, first(&mut stream))
         .await
-        .map_err(|_| "no welcome in time")?
-        .ok_or("turned away")?;
+        .map_err(|_| LinkError::WelcomeTimeout)?
+        .ok_or(LinkError::TurnedAway)?;
     if group != 0 && welcome.group != 0 && welcome.group != group {
-        return Err("of another group".into());
+        return Err(HelloError::OtherGroup.into());
     }
     if welcome.form < who.form.get() {
-        return Err("an older program, or one kept to an older form, than the group has".into());
+        return Err(HelloError::OlderForm.into());
     }
     Ok((stream, welcome))
 }
 
-async fn carry(outlet: &Outlet, who: &Own, to: &str, address: SocketAddr) -> Result<(), String> {
+async fn carry(outlet: &Outlet, who: &Own, to: &str, address: SocketAddr) -> Result<(), LinkError> {
     let as_whom = (who.group.get(), who.id.get());
     let (mut stream, _) = greeted(who, to, address).await?;
     outlet.up.set(true);
@@ -210,13 +211,13 @@
     let (mut reader, mut writer) = stream.split();
     let stays = || match (who.group.get(), who.id.get()) == as_whom {
         true => Ok(()),
-        false => Err("let in meanwhile: greets anew".to_string()),
+        false => Err(LinkError::IncarnationChanged),
     };
     let mut rest = [0; 64];
     tokio::select! {
         ended = outlet.pump(&mut writer, stays) => ended,
         // Nothing comes this way: an end, or noise.
-        _ = reader.read(&mut rest) => Err("ended by the other side".into()),
+        _ = reader.read(&mut rest) => Err(LinkError::Closed),
     }
 }
 
@@ -240,7 +241,7 @@
                     break;
                 }
             }
-            Err::<(), String>("ended by the other side".into())
+            Err::<(), LinkError>(LinkError::Closed)
         };
         tokio::select! {
             ended = outlet.pump(&mut writer, || Ok(())) => ended,
@@ -248,19 +249,19 @@
         }
     };
     if let Err(why) = carried.await {
-        tracing::debug!(to, %address, why, "follower's link");
+        tracing::debug!(to, %address, cause = why.cause(), %why, "follower's link");
     }
     let _ = lines.send(Line::Down).await;
 }
 
 /// Writes all of it, as long as the reader takes something every while.
-async fn write(stream: &mut (impl AsyncWriteExt + Unpin), mut bytes: &[u8]) -> Result<(), String> {
+async fn write(stream: &mut (impl AsyncWriteExt + Unpin), mut bytes: &[u8]) -> Result<(), LinkError> {
     while !bytes.is_empty() {
         match timeout(PATIENCE, stream.write(bytes)).await {
             Ok(Ok(n)) if n > 0 => bytes = &bytes[n..],
-            Ok(Ok(_)) => return Err("ended".into()),
-            Ok(Err(e)) => return Err(e.to_string()),
-            Err(_) => return Err("it reads nothing".into()),
+            Ok(Ok(_)) => return Err(LinkError::Closed),
+            Ok(Err(e)) => return Err(e.into()),
+            Err(_) => return Err(LinkError::WriteTimeout),
         }
     }
     Ok(())
@@ -296,8 +297,8 @@
     let open = Rc::new(Cell::new(0));
     let mut number = 0;
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, from) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(e) => {
                 tracing::warn!(error = %e, "accept, links");
                 sleep(Duration::from_millis(50)).await;
@@ -305,7 +306,7 @@
             }
         };
         if open.get() >= MOST_LINKS {
-            add(&counts.refused, 1);
+            counts.refused.add(&LinkError::TooManyLinks);
             continue;
         }
         open.set(open.get() + 1);
@@ -313,8 +314,8 @@
         number += 1;
         spawn_local(async move {
             if let Err(why) = hear(stream, &who, number, &news, &counts).await {
-                add(&counts.refused, 1);
-                tracing::debug!(why, "link refused");
+                counts.refused.add(&why);
+                tracing::debug!(%from, cause = why.cause(), %why, "link refused");
             }
             open.set(open.get() - 1);
         });
@@ -330,9 +331,9 @@
 
 impl Frames {
     /// The next one; none: the connection has ended where it may.
-    async fn next(&mut self, stream: &mut (impl AsyncReadExt + Unpin)) -> Result<Option<Frame>, String> {
+    async fn next(&mut self, stream: &mut (impl AsyncReadExt + Unpin)) -> Result<Option<Frame>, LinkError> {
         loop {
-            if let Some((frame, used)) = read_frame(&self.bytes, MOST_FRAME).map_err(|e| e.to_string())? {
+            if let Some((frame, used)) = read_frame(&self.bytes, MOST_FRAME)? {
                 self.bytes.drain(..used);
                 self.begun = None;
                 // Memory for a large frame is not kept.
@@ -342,15 +343,15 @@
                 return Ok(Some(frame));
             }
             if !self.bytes.is_empty() && self.begun.get_or_insert_with(Instant::now).elapsed() > WHOLE {
-                return Err("a frame that does not end".into());
+                return Err(LinkError::FrameTimeout);
             }
             match timeout(PATIENCE, stream.read_buf(&mut self.bytes)).await {
                 Ok(Ok(0)) if self.bytes.is_empty() => return Ok(None),
-                Ok(Ok(0)) => return Err("torn within a frame".into()),
+                Ok(Ok(0)) => return Err(LinkError::TornFrame),
                 Ok(Ok(_)) => {}
                 // Cut off: its sender comes again.
                 Ok(Err(_)) => return Ok(None),
-                Err(_) => return Err("silent".into()),
+                Err(_) => return Err(LinkError::ReadTimeout),
             }
         }
     }
@@ -363,10 +364,10 @@
     number: u64,
     news: &mpsc::Sender<News>,
     counts: &Rc<Counts>,
-) -> Result<(), String> {
+) -> Result<(), LinkError> {
     let _ = stream.set_nodelay(true);
     let hello = timeout(PATIENCE, first::<Hello>(&mut stream)).await;
-    let hello = hello.map_err(|_| "no greeting in time")?.ok_or("no greeting")?;
+    let hello = hello.map_err(|_| LinkError::GreetingTimeout)?.ok_or(LinkError::NoGreeting)?;
     let form = hello.judge((who.form.get(), who.newest), who.group.get(), &who.name)?;
     let _ = news.send(News::Greeted(hello.name.clone(), hello.forms.1)).await;
     let welcome = Welcome { form, group: who.group.get(), id: who.id.get() };
@@ -376,7 +377,7 @@
     let mut writer = Some(writer);
     while let Some(frame) = frames.next(&mut reader).await? {
         if !frame.is_allowed_from(hello.id) {
-            return Err("speaks in another's name".into());
+            return Err(LinkError::FrameNotAllowed);
         }
         let follows = matches!(frame, Frame::Follow { .. });
         if let Some(mut writer) = writer.take_if(|_| follows) {
@@ -389,13 +390,12 @@
                 while let Some(frame) = frames.next(&mut reader).await? {
                     let known = matches!(frame, Frame::Follow { .. } | Frame::Ask { .. } | Frame::Idle);
                     if !known || news.send(News::FanFrame(number, Box::new(frame))).await.is_err() {
-                        return Err("speaks as a member".to_string());
+                        return Err(LinkError::FollowerFrameNotAllowed);
                     }
                 }
                 Ok(())
             };
-            let stays =
-                || if outlet.up.get() { Ok(()) } else { Err("reads nothing, or one too many".into()) };
+            let stays = || if outlet.up.get() { Ok(()) } else { Err(LinkError::FollowerDropped) };
             let ended = tokio::select! {
                 ended = outlet.pump(&mut writer, stays) => ended,
                 ended = read => ended,
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod follow;
 mod kept;
+mod link_error;
 mod links;
 pub mod store;
 
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -399,6 +399,19 @@
         assert!(time < Duration::from_secs(12), "{time:?}");
         peers.step("call 2 ACK SUSPEND b").await;
         peers.step("led 0 1 2").await;
+        // Each is counted by its cause, in the figures of every ten seconds.
+        for cause in [
+            "bad_frame",
+            "frame_not_allowed",
+            "frame_timeout",
+            "greeting_timeout",
+            "no_greeting",
+            "other_group",
+            "other_member",
+            "read_timeout",
+        ] {
+            peers.step(&format!("logged 0 {cause}=")).await;
+        }
     });
 }
 
