Tests of the group's processes: a file for each topic, standard names

An `allow(dead_code)` is gone.

Renamed: kept to time_until_closed, said to parse_answer, schedule to play_random_schedule, about to concerns, load to measure_commands, obeyed_in_time to suspensions_are_obeyed_in_time; in the peers set to new, wired to with_wire, settle to write_operator_file, way to relay_port, timed to steady_timed, alone to leave_out_group_section.

--- /dev/null
+++ b/tests/group/figures.rs
@@ -0,0 +1,202 @@
+//! Figures for the commits, by hand.
+
+use crate::peers::{run, Peers};
+use std::time::{Duration, Instant};
+
+#[test]
+#[ignore = "figures, for the commits"]
+fn figures() {
+    for members in [3, 5] {
+        run(async {
+            let mut peers = Peers::new(members, 0).await;
+            let all: Vec<String> = (0..members).map(|i| i.to_string()).collect();
+            peers.step(&format!("start {}", all.join(" "))).await;
+            peers.step(&format!("whole {}", all.join(" "))).await;
+            let (mut times, mut gaps) = (Vec::new(), Vec::new());
+            for turn in 0..400 {
+                let began = Instant::now();
+                let call = if turn % 2 == 0 { "SUSPEND a" } else { "RESTORE a" };
+                assert!(peers.call(turn % members, call).await.starts_with("ACK"));
+                times.push(began.elapsed().as_secs_f64() * 1e3);
+            }
+            times.sort_by(f64::total_cmp);
+            println!("{members} members: promise p50 {:.1} p99 {:.1} ms", times[200], times[396]);
+            for _ in 0..8 {
+                peers.step(&format!("led {}", all.join(" "))).await;
+                let leader = peers.status(0, "leader").await.unwrap();
+                let leader: usize = leader[1..].parse().unwrap();
+                peers.step(&format!("kill {leader}")).await;
+                let began = Instant::now();
+                let other = (leader + 1) % members;
+                while !peers.call(other, "SUSPEND b").await.starts_with("ACK") {}
+                gaps.push(began.elapsed().as_millis());
+                assert!(peers.call(other, "RESTORE b").await.starts_with("ACK"));
+                peers.step(&format!("start {leader}")).await;
+            }
+            gaps.sort_unstable();
+            println!("{members} members: next promise after a kill {gaps:?} ms");
+        });
+    }
+}
+
+/// Commands at P for so long: their number, processor time for each in us, p50 and p99 in ms.
+async fn measure_commands(peers: &Peers, i: usize, seconds: u64, mut beside: impl AsyncFnMut(u64)) -> String {
+    let times = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
+    let clients: Vec<_> = (0..8).map(|_| peers.steady_timed(i, times.clone()).1).collect();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    times.borrow_mut().clear();
+    let (used, began) = (peers.processor(i), Instant::now());
+    for second in 0..seconds {
+        let due = Duration::from_secs(second + 1);
+        beside(second).await;
+        tokio::time::sleep(due.saturating_sub(began.elapsed())).await;
+    }
+    let used = peers.processor(i) - used;
+    clients.iter().for_each(|client| client.abort());
+    let mut times = times.borrow().clone();
+    times.sort_by(f64::total_cmp);
+    let at = |share: f64| times[(times.len() as f64 * share) as usize];
+    let each = used.as_secs_f64() * 1e6 / times.len() as f64;
+    format!("{} commands, {each:.0} us each, p50 {:.2} p99 {:.2} ms", times.len(), at(0.5), at(0.99))
+}
+
+/// `DRIFTGAP_PROGRAM` names the build that is measured.
+#[test]
+#[ignore = "figures, for the commits"]
+fn figures_of_commands_beside_the_group() {
+    for turn in 0..2 {
+        run(async {
+            let mut peers = Peers::new(3, 0).await;
+            peers.leave_out_group_section(0);
+            peers.step("start 0").await;
+            peers.step("answers 0 ready : STATUS").await;
+            println!("{turn} off: {}", measure_commands(&peers, 0, 10, async |_| {}).await);
+        });
+        for size in [3, 5] {
+            run(async {
+                let mut peers = Peers::new(size, 0).await;
+                let all: Vec<String> = (0..size).map(|i| i.to_string()).collect();
+                peers.step(&format!("start {}", all.join(" "))).await;
+                peers.step(&format!("whole {}", all.join(" "))).await;
+                println!(
+                    "{turn} on, {size} members: {}",
+                    measure_commands(&peers, 0, 10, async |_| {}).await
+                );
+                let calls = measure_commands(&peers, 0, 10, async |_| {
+                    for _ in 0..20 {
+                        let answers = [peers.call(1, "SUSPEND zz").await, peers.call(2, "RESTORE zz").await];
+                        assert!(answers.iter().all(|a| a.starts_with("NAK zz was never")), "{answers:?}");
+                        peers.call(1, "SUSPEND d").await;
+                        peers.call(2, "RESTORE d").await;
+                    }
+                });
+                println!("{turn} on, {size} members, 40 calls a second: {}", calls.await);
+                for i in 1..=size / 2 {
+                    peers.step(&format!("split {i}")).await;
+                }
+                println!(
+                    "{turn} {} cut off: {}",
+                    size / 2,
+                    measure_commands(&peers, 0, 10, async |_| {}).await
+                );
+                peers.step(&format!("split {}", size - 1)).await;
+                println!("{turn} majority lost: {}", measure_commands(&peers, 0, 10, async |_| {}).await);
+            });
+        }
+    }
+}
+
+/// The numbers of followers that figures are wanted for.
+fn numbers_of_followers() -> Vec<usize> {
+    let numbers = std::env::var("DRIFTGAP_FOLLOWERS").unwrap_or("3,30,300".into());
+    numbers.split(',').filter_map(|n| n.parse().ok()).collect()
+}
+
+#[test]
+#[ignore = "figures, for the commits"]
+fn figures_of_many_followers_of_cuts_and_of_a_member_that_never_returns() {
+    for followers in numbers_of_followers() {
+        run(async {
+            let mut peers = Peers::new(3, followers).await;
+            peers.step("start 0 1 2").await;
+            peers.step("whole 0 1 2").await;
+            for i in 3..3 + followers {
+                peers.step(&format!("start {i}")).await;
+            }
+            for i in 3..3 + followers {
+                peers.step(&format!("says {i} member=m")).await;
+            }
+            tokio::time::sleep(Duration::from_secs(2)).await;
+            let all: Vec<usize> = vec![0, 1, 2, 3];
+            let used: Vec<Duration> = all.iter().map(|i| peers.processor(*i)).collect();
+            tokio::time::sleep(Duration::from_secs(10)).await;
+            let share = |(i, before): (&usize, &Duration)| {
+                format!("{:.2}%", (peers.processor(*i) - *before).as_secs_f64() * 10.0)
+            };
+            let shares: Vec<String> = all.iter().zip(&used).map(share).collect();
+            let kb: Vec<u64> = all.iter().map(|i| peers.resident(*i)).collect();
+            println!("{followers} followers: members and one follower {shares:?} of a core, {kb:?} kB");
+            let began = Instant::now();
+            assert!(peers.call(0, "SUSPEND a").await.starts_with("ACK"));
+            let yes = Instant::now();
+            for i in 0..3 + followers {
+                peers.step(&format!("answers {i} 1 suspended : STATUS")).await;
+            }
+            println!("the yes after {:?}, all have it at most {:?} later", yes - began, yes.elapsed());
+        });
+    }
+    for size in [3, 5] {
+        run(async {
+            let mut peers = Peers::new(size, 0).await;
+            let all: Vec<String> = (0..size).map(|i| i.to_string()).collect();
+            peers.step(&format!("start {}", all.join(" "))).await;
+            peers.step(&format!("whole {}", all.join(" "))).await;
+            let mut gaps = Vec::new();
+            for turn in 0..8 {
+                let leader: usize = peers.status(0, "leader").await.unwrap()[1..].parse().unwrap();
+                match turn % 2 {
+                    0 => peers.step(&format!("split {leader}")).await,
+                    _ => {
+                        for other in (0..size).filter(|i| *i != leader) {
+                            peers.step(&format!("mute {leader} {other}")).await;
+                        }
+                    }
+                }
+                let began = Instant::now();
+                let other = (leader + 1) % size;
+                let mut answer = String::new();
+                while !answer.starts_with("ACK") {
+                    answer = peers.call(other, "SUSPEND b").await;
+                }
+                gaps.push(began.elapsed().as_millis());
+                if gaps.last().is_some_and(|ms| *ms > 1500) {
+                    println!("{}", peers.logs());
+                }
+                peers.step("heal").await;
+                peers.step(&format!("led {}", all.join(" "))).await;
+                peers.step(&format!("call {other} ACK RESTORE b")).await;
+            }
+            println!(
+                "{size} members: next promise after the leader is cut off, heard by nobody: {gaps:?} ms"
+            );
+            let away = size - 1;
+            peers.step(&format!("kill {away}")).await;
+            peers.step("led 0 1").await;
+            let size_of =
+                |i: usize| std::fs::metadata(peers.home(i).join("group/group.redb")).unwrap().len() / 1024;
+            println!("{size} members, one away: {} kB, {} kB on the disk", peers.resident(0), size_of(0));
+            for _ in 0..5 {
+                for turn in 0..4000 {
+                    let call = if turn % 2 == 0 { "SUSPEND a" } else { "RESTORE a" };
+                    // Where the killed one led, the first calls wait for another leader.
+                    while !peers.call(turn % 2, call).await.starts_with("ACK") {}
+                }
+                println!("4,000 calls on: {} kB, {} kB on the disk", peers.resident(0), size_of(0));
+            }
+            let began = Instant::now();
+            peers.step(&format!("start {away}")).await;
+            peers.step(&format!("out {away}")).await;
+            println!("back, and caught up after {:?}", began.elapsed());
+        });
+    }
+}
--- /dev/null
+++ b/tests/group/main.rs
@@ -0,0 +1,16 @@
+//! Several processes of the program in a group, with faults between them. Schedules are in the language of
+//! [`peers::schedule`].
+
+mod disks;
+mod documents;
+mod figures;
+mod followers;
+mod links;
+mod membership;
+#[path = "../../crates/group/tests/one_machine/mod.rs"]
+mod one_machine;
+mod peers;
+mod promises;
+mod random_faults;
+mod recovery;
+mod releases;
--- /dev/null
+++ b/tests/group/releases.rs
@@ -0,0 +1,85 @@
+//! Members replaced one by one by another program, under load.
+
+use crate::peers::{play, run, Peers};
+use std::collections::BTreeSet;
+
+#[test]
+fn a_release_one_by_one_under_steady_calls_loses_none() {
+    run(async {
+        let mut peers = Peers::new(3, 1).await;
+        peers.steps(&["start 0 1 2 3", "whole 0 1 2", "says 3 member=m"]).await;
+        let mut held = BTreeSet::new();
+        for (turn, member) in [0, 1, 2].into_iter().enumerate() {
+            let at = member;
+            for (i, name) in ["a", "b", "c", "d"].into_iter().enumerate() {
+                if i == 2 {
+                    peers.step(&format!("term {member}")).await;
+                }
+                let call = if turn % 2 == 0 { "SUSPEND" } else { "RESTORE" };
+                let through = [3, (at + 1) % 3][i % 2];
+                let answer = peers.call(through, &format!("{call} {name}")).await;
+                assert!(answer.starts_with("ACK"), "{member} {name}: {answer}");
+                if turn % 2 == 0 {
+                    held.insert(name)
+                } else {
+                    held.remove(name)
+                };
+                peers.step(&format!("answered {through} k{turn}{i}")).await;
+            }
+            peers.step(&format!("start {member}")).await;
+            peers.step("led 0 1 2").await;
+        }
+        let all = held.into_iter().collect::<Vec<_>>().join(" ");
+        for i in 0..4 {
+            peers.step(&format!("out {i} {all}")).await;
+        }
+    });
+}
+
+#[test]
+fn two_forms_of_the_program_run_beside_each_other_through_a_release() {
+    play(
+        3,
+        "form 0 1
+         form 1 1
+         start 0 1 2
+         whole 0 1 2
+         call 2 ACK SUSPEND a
+         says 2 form=1
+         term 0
+         form 0 2
+         start 0
+         led 0 1 2
+         call 0 ACK SUSPEND b
+         says 0 form=1
+         kill leader
+         start 0
+         start 1
+         start 2
+         led 0 1 2
+         call 1 ACK RESTORE a
+         says 0 form=1
+         # The last one goes up: only then does the group.
+         term 1
+         form 1 2
+         start 1
+         led 0 1 2
+         says 0 form=2
+         says 1 form=2
+         says 2 form=2
+         call 1 ACK SUSPEND c
+         kill 2
+         form 2 1
+         refused 2 form 2
+         # With an empty folder as well: the others let in nobody who could not carry out what the log holds.
+         wipe 2
+         start 2
+         call 0 ACK SUSPEND d
+         says 2 not in the group yet
+         kill 2
+         form 2 2
+         start 2
+         whole 0 1 2
+         out 2 b c d",
+    );
+}
