Late requests are refused first under load

What a client has left of its class's deadline, which settings give over all its tries, tells how long it has waited.

The test of the module fails without the change (41 of 100 late ones refused).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -175,9 +175,13 @@
             return actions.push(Action::Refuse { id, retry_after: 0.0 });
         }
         self.reading(now, true);
-        let aim = self.set.classes[request.class].aim;
-        let chance = CHANCE[self.m.level];
-        if chance >= 1.0 || chance > 0.0 && self.dice(chance) {
+        let class = &self.set.classes[request.class];
+        let (aim, latency) = (class.aim, self.m.latency[request.class]);
+        // Behind its aim an answer earns the late share alone: under load, such a request goes first.
+        let late = self.m.level > 0 && class.deadline - (request.give_up - now) + latency > aim;
+        let lost = if late { 1.0 - class.late_share } else { 0.0 };
+        let chance = CHANCE[self.m.level].max(lost);
+        if chance > 0.0 && self.dice(chance) {
             return self.refuse(id, ADVICE * aim, actions);
         }
         let drawn = self.draw(now, &request, actions);
@@ -201,9 +205,7 @@
             self.m.tokens = (self.m.tokens + EARN).min(SAVED);
             return self.send(now, id, host, actions);
         }
-        if let Some(c) = self.m.customers.get_mut(&customer) {
-            c.hand += units;
-        }
+        self.m.customers.entry(customer).and_modify(|c| c.hand += units);
         self.answer(id, actions);
     }
 
@@ -774,6 +776,8 @@
                 } else {
                     h.strikes = 0;
                 }
+                self.m.aims += self.set.classes[class].aim / self.m.pace;
+                self.m.departs += 1.0 / self.m.pace;
                 if h.ratio < 3.0 {
                     self.m.latency[class] += LEARN * (took.min(WORST * typical) - typical);
                 }
@@ -791,10 +795,6 @@
                 }
             }
         }
-        if o == Outcome::Ok {
-            self.m.aims += self.set.classes[class].aim / self.m.pace;
-            self.m.departs += 1.0 / self.m.pace;
-        }
     }
 
     /// A failure at a host; after some in a row it is ejected. Lateness counts only while the host answers
--- a/src/meaning.rs
+++ b/src/meaning.rs
@@ -58,7 +58,7 @@
     ("request_classes[].deadline", "module and ingress: longest wait"),
     ("request_classes[].effect", "module and ingress: what a repeat does"),
     ("request_classes[].group", "module and ingress: who knows a key"),
-    ("request_classes[].late_share", "module: checked, decides nothing"),
+    ("request_classes[].late_share", "module: who is refused first under load"),
     ("request_classes[].name", "ingress: `c` of a command"),
     ("request_classes[].streaming", "nobody: every value is passed on once its size is known"),
     ("request_classes[].window", "module and ingress: for how long a key is known"),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -101,8 +101,7 @@
         units: f64,
         spread: u32,
     ) -> RequestId {
-        let id = self.next;
-        self.next += 1;
+        let id = self.next_id();
         let give_up = self.now + 2.0;
         let (first, repeat) = (0, false);
         let request =
@@ -111,6 +110,31 @@
         id
     }
 
+    /// A request without a quota whose client has waited so long in earlier tries, s; its id.
+    pub fn ask_after_waiting(&mut self, class: usize, waited: f64) -> RequestId {
+        let id = self.next_id();
+        let request = Request {
+            id,
+            give_up: self.now + self.set.classes[class].deadline - waited,
+            class,
+            plan: 0,
+            customer: 1,
+            units: 1.0,
+            spread: 2,
+            first: 0,
+            repeat: false,
+            pools: ALL_HOSTS,
+        };
+        self.tell(Event::Arrived(request));
+        id
+    }
+
+    fn next_id(&mut self) -> RequestId {
+        let id = self.next;
+        self.next += 1;
+        id
+    }
+
     /// Requests that stay open, one after the other, and where each was sent.
     pub fn ask_all(&mut self, class: usize, n: usize) -> Vec<(RequestId, HostId)> {
         let mut sent = Vec::new();
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -6,8 +6,8 @@
 use driftgap::*;
 
 /// Jams one host's worth of slow answers until the threshold is learnt, then stops.
-fn bed_with_threshold() -> Bed {
-    let mut bed = Bed::new(settings(), 4);
+fn bed_with_threshold(settings: Settings) -> Bed {
+    let mut bed = Bed::new(settings, 4);
     for _ in 0..30 {
         let id = bed.ask(0, 0, 1, 1.0);
         bed.now += 0.001;
@@ -20,7 +20,7 @@
 
 #[test]
 fn five_readings_move_the_ladder_and_four_do_not() {
-    let mut bed = bed_with_threshold();
+    let mut bed = bed_with_threshold(settings());
     let mut out = Vec::new();
     while out.len() as f64 <= bed.gateway.threshold() {
         out.push(bed.ask(0, 0, 1, 1.0));
@@ -41,9 +41,49 @@
     assert_eq!((bed.gateway.level(), below), (0, 5));
 }
 
+/// Of so many requests whose clients have waited so long, s, how many a gateway at level 1 refuses. Those that it
+/// sends are answered at once, so that the level stays.
+fn refused_at_level_1(bed: &mut Bed, count: usize, waited: f64) -> usize {
+    let mut refused = 0;
+    for _ in 0..count {
+        let id = bed.ask_after_waiting(0, waited);
+        assert_eq!(bed.gateway.level(), 1);
+        if bed.refused(id) {
+            refused += 1;
+        } else {
+            bed.end(id, 0, Outcome::Cancelled);
+        }
+    }
+    refused
+}
+
+#[test]
+fn under_load_requests_that_can_only_be_answered_late_are_refused_first() {
+    for (late_share, refused_late) in [(0.0, 100..=100), (0.3, 60..=80), (1.0, 40..=60)] {
+        let mut settings = settings();
+        settings.classes[0].late_share = late_share;
+        let mut bed = bed_with_threshold(settings);
+        let waited = 0.6;
+        let id = bed.ask_after_waiting(0, waited);
+        assert!(!bed.refused(id), "without load a late answer is worth its work");
+        let mut out = vec![id];
+        while bed.gateway.level() == 0 {
+            out.push(bed.ask(0, 0, 1, 1.0));
+        }
+        // Between the thresholds of levels 1 and 2 the level stays.
+        while out.len() as f64 > 1.1 * bed.gateway.threshold() {
+            bed.end(out.pop().expect("attempts out"), 0, Outcome::Ok);
+        }
+        let refused = refused_at_level_1(&mut bed, 100, waited);
+        assert!(refused_late.contains(&refused), "late share {late_share}: {refused} of 100");
+        let refused = refused_at_level_1(&mut bed, 100, 0.0);
+        assert!((40..=60).contains(&refused), "in time, late share {late_share}: {refused} of 100");
+    }
+}
+
 #[test]
 fn level_2_lets_nothing_in() {
-    let mut bed = bed_with_threshold();
+    let mut bed = bed_with_threshold(settings());
     let mut last = 0;
     for _ in 0..400 {
         last = bed.ask(0, 0, 1, 1.0);
