Rules are read again on a thread of their own

Cause: SIGHUP read, judged and compiled the file of rules on the serving thread; nothing else was done meanwhile, and longer files held it longer.

What is asked for during a reading leads to one more behind it, so that the last content wins and no earlier one comes into force behind it. Without [routes], and between reloads, there is no such thread.

Tests: the stage waits for the log's word that a reading of rules has ended, where it waited 60 ms; its program's log is shown where a test fails. The new tests are tests/reload.rs.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -122,6 +122,7 @@
 pub mod plugin;
 pub mod ring;
 pub mod routing;
+pub mod rule_reload;
 pub mod rules;
 pub mod settings;
 mod state;
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,8 @@
 use crate::inventory::{Inventory, InventoryError};
 use crate::operator::Operator;
 use crate::plugin::{Plugin, PluginError};
-use crate::routing::Source;
+use crate::routing::{catalog, Source};
+use crate::rule_reload::{Reading, ReloadError, RuleReload};
 use crate::settings::Config;
 use crate::upstream::Upstream;
 use driftgap_group::Kind;
@@ -147,28 +148,31 @@
         Ok(())
     }
 
-    /// Reads the rules again. A file that is wrong anywhere keeps the old ones. The text that is in force now.
-    fn read_rules(&self, source: &Source) -> Option<String> {
-        let text = source.text();
-        match text.clone().and_then(|text| source.judge(&text, self.hub.platform())) {
-            Ok(rules) => {
-                let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
-                match self.hub.put_rules(rules) {
-                    Ok(()) => {
-                        tracing::info!(rules = count, cost, unindexed, "rules replaced");
-                        return text.ok();
-                    }
-                    Err(e) => tracing::error!(error = %e, "the old rules stay"),
-                }
+    /// Puts rules in force that were read again; without any, the old ones stay. The text that is in force now.
+    fn put_rules(&self, read: Result<Reading, ReloadError>) -> Option<String> {
+        let Reading { rules, text, retired } = match read {
+            Ok(reading) => reading,
+            Err(ReloadError::Faults(faults)) => {
+                tracing::error!(faults, "the old rules stay");
+                return None;
             }
-            Err(faults) => {
-                for fault in &faults {
-                    tracing::error!(fault = fault.line, "rules");
-                }
-                tracing::error!(faults = faults.len(), "the old rules stay");
+            Err(e) => {
+                tracing::error!(error = %e, "the old rules stay");
+                return None;
+            }
+        };
+        let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
+        match self.hub.put_rules(rules) {
+            Ok(replaced) => {
+                retired.leave(replaced);
+                tracing::info!(rules = count, cost, unindexed, "rules replaced");
+                Some(text)
+            }
+            Err(e) => {
+                tracing::error!(error = %e, "the old rules stay");
+                None
             }
         }
-        None
     }
 
     /// Follows the name table at this agent from now on; the list held stays until the agent tells another.
@@ -294,17 +298,27 @@
     if let Some(inventory) = &inventory {
         hand_in(Kind::Inventory, inventory.accepted(), true);
     }
-    let rules = rules.map(|(source, text)| {
+    let mut rules = rules.map(|(source, text)| {
         hand_in(Kind::Rules, text.into_bytes(), true);
-        source
+        RuleReload::new(source, catalog(node.hub.platform()))
     });
-    while hang_up.recv().await.is_some() {
-        node.reload(&path, &mut held);
-        if let Some(rules) = &rules {
-            if let Some(text) = node.read_rules(rules) {
-                hand_in(Kind::Rules, text.into_bytes(), false);
+    loop {
+        tokio::select! {
+            heard = hang_up.recv() => if heard.is_none() { return },
+            read = finished(rules.as_mut()) => {
+                if let Some(text) = node.put_rules(read) {
+                    hand_in(Kind::Rules, text.into_bytes(), false);
+                }
+                if let Some(rules) = &mut rules {
+                    rules.resume();
+                }
+                continue;
             }
         }
+        node.reload(&path, &mut held);
+        if let Some(rules) = &mut rules {
+            rules.request();
+        }
         if let Some(inventory) = &mut inventory {
             match node.load(inventory) {
                 Ok(()) => {
@@ -323,6 +337,14 @@
     }
 }
 
+/// Waits for the reading of rules that is under way; forever without one.
+async fn finished(rules: Option<&mut RuleReload>) -> Result<Reading, ReloadError> {
+    match rules {
+        Some(rules) => rules.finished().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Descriptors for instances.
 fn instances(config: &Config) -> usize {
     spare(config) * 2 / 5
@@ -405,7 +427,8 @@
     let mut rules = None;
     if let Some(source) = Source::of(&operator) {
         let text = source.text();
-        let mut read = text.clone().and_then(|text| source.judge(&text, hub.platform()));
+        let catalog = catalog(hub.platform());
+        let mut read = text.clone().and_then(|text| source.judge(&text, &catalog));
         let mut text = text.unwrap_or_default();
         if let (Err(faults), Some(group)) = (&read, &group) {
             let Some(held) = unless_stopped(&mut term, group.document(Kind::Rules)).await else {
@@ -413,7 +436,7 @@
             };
             if let Some(held) = held {
                 let good = String::from_utf8_lossy(&held.bytes).to_string();
-                if let Ok(rules) = source.judge(&good, hub.platform()) {
+                if let Ok(rules) = source.judge(&good, &catalog) {
                     let fault = faults.first().map(|f| &f.line);
                     tracing::error!(fault, number = held.number, "serves the group's last good rules");
                     (read, text) = (Ok(rules), good);
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -40,7 +40,7 @@
     /// # Errors
     /// Every fault of theirs.
     pub fn read(&self, platform: &Platform) -> Result<Rules, Vec<Fault>> {
-        self.judge(&self.text()?, platform)
+        self.judge(&self.text()?, &catalog(platform))
     }
 
     /// The file's text.
@@ -58,8 +58,8 @@
     ///
     /// # Errors
     /// Every fault of theirs.
-    pub fn judge(&self, text: &str, platform: &Platform) -> Result<Rules, Vec<Fault>> {
-        Rules::read_part(text, &self.path.display().to_string(), self.part, &catalog(platform))
+    pub fn judge(&self, text: &str, catalog: &Catalog) -> Result<Rules, Vec<Fault>> {
+        Rules::read_part(text, &self.path.display().to_string(), self.part, catalog)
     }
 }
 
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,309 @@
+//! Rules that are read again while commands come: the real program, thousands of rules, and files that are changed,
+//! torn and wrong.
+
+mod stage;
+
+use oorandom::Rand64;
+use stage::steady::{Class, Sent, Steady, Told};
+use stage::{run, Stage, Wire};
+use std::collections::{BTreeSet, HashMap};
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Rules of a file, beside those that tell the files apart.
+const RULES: usize = 2_000;
+/// The partner whose commands no rule refuses, the one whose every other file does, and the one whose every file does.
+const FREE: u64 = 7;
+const EVERY_OTHER: u64 = 8;
+const ALWAYS: u64 = 9;
+/// What a refusal of a file's rules adds to the file's number, ms: further than the module ever sends a client away.
+const EVERY_OTHER_MS: u64 = 100_000;
+const ALWAYS_MS: u64 = 200_000;
+/// Further than the number of any good file.
+const NO_FILE: u64 = 50_000;
+/// Longest that a test of these waits for anything.
+const LONGEST: Duration = Duration::from_secs(120);
+
+/// A rule that matches nothing that is sent here: its name, and the file that changed it last.
+#[derive(Clone, Copy)]
+struct Other {
+    name: usize,
+    changed: u64,
+}
+
+impl Other {
+    fn text(self) -> String {
+        let Other { name, changed } = self;
+        format!(
+            "[[rule]]\nname = 'r{name}'\nwhen = 'request.path.startsWith(\"/r{name}/{changed}/\")'\n\
+             notes = {{ changed = '\"{changed}\"' }}\n"
+        )
+    }
+}
+
+/// A file of rules by its number, which is told by the refusals of its rules.
+struct File {
+    number: u64,
+    others: Vec<Other>,
+    /// The name of the next new rule.
+    next: usize,
+}
+
+impl File {
+    fn new(rules: usize) -> File {
+        let others = (0..rules).map(|name| Other { name, changed: 0 }).collect();
+        File { number: 0, others, next: rules }
+    }
+
+    /// The next file: some rules are changed, some replaced by new ones, some in other places.
+    fn edit(&mut self, random: &mut Rand64) {
+        self.number += 1;
+        for _ in 0..1 + pick(random, 20) {
+            let (at, to) = (pick(random, self.others.len()), pick(random, self.others.len()));
+            match pick(random, 3) {
+                0 => self.others[at].changed = self.number,
+                1 => {
+                    self.others.remove(at);
+                    self.others.insert(to, Other { name: self.next, changed: self.number });
+                    self.next += 1;
+                }
+                _ => self.others.swap(at, to),
+            }
+        }
+    }
+
+    fn text(&self) -> String {
+        let refuses = |name: &str, partner: u64, after_ms: u64| {
+            format!(
+                "[[rule]]\nname = '{name}'\nwhen = 'request.partner.orValue(\"\") == \"{partner:016x}\"'\n\
+                 nack = 'duration(\"{after_ms}ms\")'\n"
+            )
+        };
+        let mut text = refuses("always", ALWAYS, ALWAYS_MS + self.number);
+        if refuses_every_other(self.number) {
+            text.push_str(&refuses("every-other", EVERY_OTHER, EVERY_OTHER_MS + self.number));
+        }
+        self.others.iter().for_each(|other| text.push_str(&other.text()));
+        text
+    }
+
+    /// The file as it is while something writes it that breaks off: within a text, so that it is never whole.
+    fn torn(&self, random: &mut Rand64) -> String {
+        let text = self.text();
+        let quotes: Vec<usize> = text.match_indices("when = '").map(|(at, quote)| at + quote.len()).collect();
+        text[..quotes[pick(random, quotes.len())]].to_string()
+    }
+
+    /// The file with one rule that makes no sense, and a number that no good file has.
+    fn wrong(&self, random: &mut Rand64) -> String {
+        const WRONG: [&str; 3] = [
+            "name = 'wrong'\nwhen = 'request.nothing'",
+            "when = 'true'",
+            "name = 'wrong'\npool = '\"nowhere\"'",
+        ];
+        let wrong = File { number: self.number + NO_FILE, others: self.others.clone(), next: self.next };
+        format!("{}[[rule]]\n{}\n", wrong.text(), WRONG[pick(random, WRONG.len())])
+    }
+}
+
+/// Whether the file of this number has the rule for every other file.
+fn refuses_every_other(number: u64) -> bool {
+    number.is_multiple_of(2)
+}
+
+fn pick(random: &mut Rand64, below: usize) -> usize {
+    random.rand_range(0..below.max(1) as u64) as usize
+}
+
+/// A generator whose seed is printed; `DRIFTGAP_SEED` sets it.
+fn random(test: &str) -> Rand64 {
+    let given = std::env::var("DRIFTGAP_SEED").ok().and_then(|seed| seed.parse().ok());
+    let seed = given.unwrap_or_else(|| u128::from(std::process::id()));
+    println!("{test}: DRIFTGAP_SEED={seed}");
+    Rand64::new(seed)
+}
+
+/// The number of the file whose rule has refused this.
+fn refused_by(sent: &Sent) -> Option<u64> {
+    match sent.told {
+        Told::Refused(ms) if sent.partner == ALWAYS => ms.checked_sub(ALWAYS_MS),
+        Told::Refused(ms) if sent.partner == EVERY_OTHER => ms.checked_sub(EVERY_OTHER_MS),
+        _ => None,
+    }
+}
+
+/// Clients of every partner on both wires.
+fn clients(steady: &Rc<Steady>) {
+    for front in [Wire::Resp, Wire::Http2] {
+        steady.client(front, FREE, Class::Fetch);
+        steady.client(front, FREE, Class::Booking);
+        steady.client(front, EVERY_OTHER, Class::Fetch);
+        steady.client(front, ALWAYS, Class::Fetch);
+    }
+}
+
+/// Runs a test that ends in time.
+fn play(test: impl Future<Output = ()>) {
+    run(async { tokio::time::timeout(LONGEST, test).await.expect("the test does not come to its end") });
+}
+
+/// Each command has the answer that some good file gives it, one at most of those with an effect has run, and no
+/// file comes into force behind a later one.
+fn judge(sent: &[Sent], runs: &HashMap<String, usize>, good: &BTreeSet<u64>) {
+    let mut latest: HashMap<(bool, u64), u64> = HashMap::new();
+    for command in sent {
+        let ran = runs.get(&command.id).copied().unwrap_or(0);
+        assert!(ran <= 1 || command.class == Class::Fetch, "ran {ran} times: {command:?}");
+        match &command.told {
+            Told::Served(value) => {
+                assert_eq!(*value, command.id, "another's answer");
+                assert!(ran >= 1 && command.partner != ALWAYS, "{command:?}");
+            }
+            Told::Refused(_) => {
+                let file = refused_by(command).filter(|file| good.contains(file));
+                let file = file.unwrap_or_else(|| panic!("refused by no rule of a good file: {command:?}"));
+                assert!(command.partner == ALWAYS || refuses_every_other(file), "{command:?}");
+                assert_eq!(ran, 0, "{command:?}");
+                let latest = latest.entry((command.front == Wire::Resp, command.partner)).or_default();
+                assert!(*latest <= file, "file {file} behind {latest}: {command:?}");
+                *latest = file;
+            }
+            Told::Nothing => assert!(command.killed, "lost: {command:?}"),
+            Told::Other(_) => panic!("{command:?}"),
+        }
+    }
+}
+
+#[test]
+fn a_storm_of_reloads_loses_no_command_and_ends_with_the_last_good_file() {
+    const ROUNDS: usize = 300;
+    const KILL_EVERY: usize = 100;
+    play(async {
+        let mut random = random("storm");
+        let mut stage = Stage::set(Wire::Resp, Wire::Resp, "").await;
+        stage.step("always echo").await;
+        let mut file = File::new(RULES);
+        file.edit(&mut random);
+        let mut good = BTreeSet::from([file.number]);
+        stage.put_rules(&file.text());
+        stage.read_again().await;
+        let steady = Steady::new(&stage);
+        clients(&steady);
+        for round in 1..=ROUNDS {
+            match pick(&mut random, 10) {
+                0 | 1 => stage.put_rules(&file.torn(&mut random)),
+                2 | 3 => stage.put_rules(&file.wrong(&mut random)),
+                _ => {
+                    file.edit(&mut random);
+                    good.insert(file.number);
+                    stage.put_rules(&file.text());
+                }
+            }
+            let before = stage.readings();
+            stage.signal("-HUP");
+            match pick(&mut random, 4) {
+                0 => drop(stage.readings_after(before).await),
+                1 => steady.further(pick(&mut random, 20)).await,
+                _ => {}
+            }
+            if round % KILL_EVERY == 0 {
+                // In the midst of a reading, as like as not.
+                stage.put_rules(&file.text());
+                stage.signal("-HUP");
+                steady.restart(&mut stage).await;
+            }
+        }
+        file.edit(&mut random);
+        good.insert(file.number);
+        stage.put_rules(&file.text());
+        stage.signal("-HUP");
+        let last = file.number;
+        steady.until(|sent| sent.partner == ALWAYS && refused_by(sent) == Some(last)).await;
+        // The last good file it is, not the last one.
+        let before = stage.readings();
+        stage.put_rules(&file.torn(&mut random));
+        stage.signal("-HUP");
+        let after = stage.readings_after(before).await;
+        assert_eq!((after.replaced, after.kept), (before.replaced, before.kept + 1));
+        let settled = steady.count();
+        steady.further(100).await;
+        for sent in steady.since(settled).iter().filter(|sent| sent.partner != FREE) {
+            let refused = sent.partner == ALWAYS || refuses_every_other(file.number);
+            assert_eq!(refused_by(sent), refused.then_some(last), "{sent:?}");
+        }
+        let sent = steady.stop().await;
+        judge(&sent, &stage.runs(), &good);
+        let readings = stage.readings();
+        println!("storm: {} commands, {} good files, {readings:?}", sent.len(), good.len());
+    });
+}
+
+#[test]
+fn hundreds_of_reloads_leave_memory_as_it_is_after_the_first() {
+    const FIRST: usize = 20;
+    const RELOADS: usize = 200;
+    /// What is left of it is noise of the allocator: a file of this size takes several MB.
+    const GROWTH_MB: f64 = 4.0;
+    play(async {
+        let mut random = random("memory");
+        let mut stage = Stage::set(Wire::Resp, Wire::Resp, "").await;
+        stage.step("always echo").await;
+        let mut file = File::new(RULES);
+        let mut first_mb = 0.0;
+        for reload in 1..=RELOADS {
+            file.edit(&mut random);
+            stage.put_rules(&file.text());
+            stage.read_again().await;
+            if reload == FIRST {
+                first_mb = stage.resident();
+            }
+        }
+        let (last_mb, most_mb) = (stage.resident(), stage.most_resident());
+        println!(
+            "memory: {first_mb:.1} MB after {FIRST}, {last_mb:.1} after {RELOADS}, {most_mb:.1} at most"
+        );
+        assert_eq!(stage.readings().replaced, RELOADS);
+        assert!(last_mb - first_mb <= GROWTH_MB, "{first_mb} MB, then {last_mb}");
+    });
+}
+
+#[test]
+fn commands_are_answered_while_a_large_file_is_read() {
+    const LARGE: usize = 8_000;
+    /// With the reading on the serving thread each client would have one answer, behind it.
+    const LEAST_ANSWERS: usize = 100;
+    play(async {
+        let mut stage = Stage::set(Wire::Resp, Wire::Resp, "").await;
+        stage.step("always echo").await;
+        let threads = stage.threads();
+        assert_eq!(threads, 1, "a thread without a reading");
+        let steady = Steady::new(&stage);
+        steady.client(Wire::Resp, FREE, Class::Fetch);
+        steady.client(Wire::Http2, FREE, Class::Fetch);
+        steady.further(500).await;
+        let calm = round_trips(&steady.since(0));
+        for turn in 0..2 {
+            let mut file = File::new(LARGE);
+            file.number = turn;
+            stage.put_rules(&file.text());
+            let (begun, before) = (std::time::Instant::now(), steady.count());
+            stage.read_again().await;
+            let (took, during) = (begun.elapsed(), steady.since(before));
+            println!("reading {LARGE} rules: {took:?}, {} commands, {}", during.len(), round_trips(&during));
+            assert!(during.len() >= LEAST_ANSWERS, "{} answers in {took:?}", during.len());
+        }
+        println!("without a reading: {calm}");
+        stage.calm().await;
+        let sent = steady.stop().await;
+        assert!(sent.iter().all(|sent| sent.told == Told::Served(sent.id.clone())));
+    });
+}
+
+/// Median, 99th percentile and longest.
+fn round_trips(sent: &[Sent]) -> String {
+    let mut took: Vec<Duration> = sent.iter().map(|sent| sent.took).collect();
+    took.sort();
+    let at = |share: f64| took[((took.len() - 1) as f64 * share) as usize];
+    format!("round trips {:?}, p99 {:?}, longest {:?}", at(0.5), at(0.99), at(1.0))
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -13,7 +13,7 @@
 //!     answer I K HOW                       value V, cost N V (with its true units), last V (and closes, RESP), busy, error, half (breaks halfway), reset, refuse, goaway, garbage,
 //!                                          large N (a value of N bytes), torn N (breaks off in its middle), pieces N (comes slowly),
 //!                                          vain N (promises N bytes and gives 9), hang (halfway), noise (RESP), twice V, tardy V (the same, the second 5 ms later, RESP), odd V (with figures that make no sense, RESP)
-//!     always HOW                           from now on instances answer at once
+//!     always HOW                           from now on instances answer at once (`echo`: with the command's id)
 //!     reset C K / close C                  the client gives up a command (its connection on RESP) / closes
 //!     state I STATE                        discovery tells of an instance (a, b): active, leaving, left
 //!     inventory NAME[=STATE] ...           the operator's file names these, and is read again (SIGHUP)
@@ -49,15 +49,17 @@
 //!     counted N                            the counter holds N units, and under one that time brought
 #![allow(dead_code)]
 
+mod program;
+pub mod steady;
+
 use bytes::Bytes;
 use driftgap::wire::{command_words, instance_reply, Parsed, Reply};
 use driftgap::wire_http2::push_body;
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::future::{poll_fn, Future};
-use std::os::fd::AsRawFd;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -115,7 +117,8 @@
         let (tell, told) = oneshot::channel();
         *self.runs.borrow_mut().entry(id.to_string()).or_default() += 1;
         if let Some(how) = &*self.always.borrow() {
-            let _ = tell.send(how.clone());
+            let echo = how == "echo";
+            let _ = tell.send(if echo { format!("value {id}") } else { how.clone() });
             return told;
         }
         self.arrived.borrow_mut().insert((instance.to_string(), id.to_string()), tell);
@@ -460,7 +463,7 @@
 type Clogged = (socket2::Socket, Vec<tokio::task::JoinHandle<std::io::Result<TcpStream>>>);
 
 /// The program and everything round it.
-struct Stage {
+pub struct Stage {
     program: Child,
     /// Started beside the first, with the port where staff call it.
     second: Option<Child>,
@@ -514,7 +517,8 @@
 }
 
 impl Stage {
-    async fn set(front: Wire, wire: Wire, first: &str) -> Stage {
+    /// Sets it up; `first` is a scenario's first line.
+    pub async fn set(front: Wire, wire: Wire, first: &str) -> Stage {
         let (held, small) = (first == "held", first == "small");
         let shared = Shared::default();
         let mut instances = HashMap::new();
@@ -577,23 +581,6 @@
         stage
     }
 
-    /// Starts the program; staff call it at the port that is set.
-    fn start(&self) -> Child {
-        // As the platform does it: no more descriptors than the configuration says.
-        let mut program = Command::new("sh");
-        program.args(["-c", &format!("ulimit -n {SOCKETS}; exec \"$0\""), env!("CARGO_BIN_EXE_driftgap")]);
-        program
-            .env("EDGE_CONFIG", self.folder.join("config.json"))
-            .env("DRIFTGAP_OPERATOR", self.folder.join("operator.toml"))
-            .env("EDGE_OPERATOR", self.operators())
-            .env("TMPDIR", &self.folder)
-            .stdout(Stdio::null());
-        if let Some(held) = &self.held {
-            program.env("EDGE_ACCEPT_FD", held.as_raw_fd().to_string());
-        }
-        program.spawn().unwrap()
-    }
-
     fn operators(&self) -> String {
         let host = self.ports["resp"].split(':').next().unwrap().to_string();
         format!("{host}:{}", self.calls)
@@ -818,19 +805,8 @@
         }
     }
 
-    /// Memory that the program holds, MB.
-    fn resident(&self) -> f64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.program.id())).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmRSS")).unwrap();
-        line.split_whitespace().nth(1).unwrap().parse::<f64>().unwrap() / 1e3
-    }
-
-    fn signal(&self, name: &str) {
-        let pid = self.program.id().to_string();
-        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
-    }
-
-    async fn step(&mut self, line: &str) {
+    /// Does one step of a scenario.
+    pub async fn step(&mut self, line: &str) {
         let words: Vec<&str> = line.split_whitespace().collect();
         match words.as_slice() {
             ["send", rest @ ..] => self.send(rest).await,
@@ -939,19 +915,18 @@
                 };
                 let rows: String = names.iter().map(row).collect();
                 std::fs::write(self.folder.join("inventory.csv"), format!("{HEADER}{rows}")).unwrap();
-                self.signal("-HUP");
+                self.read_again().await;
             }
             ["move", parties @ ..] => {
                 let old = self.relocate(parties).await;
-                self.signal("-HUP");
+                self.read_again().await;
                 tokio::time::sleep(Duration::from_millis(100)).await;
                 old.iter().for_each(AbortHandle::abort);
             }
             ["rules", ..] => {
                 let text = line.split_once(' ').map_or("", |x| x.1).replace("\\n", "\n");
                 std::fs::write(self.folder.join("rules.toml"), text).unwrap();
-                self.signal("-HUP");
-                tokio::time::sleep(Duration::from_millis(60)).await;
+                self.read_again().await;
             }
             ["pooled", name, label] => {
                 let (port, wire) = self.instances[*name];
@@ -1001,7 +976,7 @@
             }
             ["config", text @ ..] => {
                 std::fs::write(self.folder.join("config.json"), text.join(" ")).unwrap();
-                self.signal("-HUP");
+                self.read_again().await;
             }
             ["unseen"] => *self.shared.unseen.borrow_mut() = true,
             ["counter", how] => *self.shared.counter.borrow_mut() = how.to_string(),
@@ -1106,14 +1081,22 @@
             let _ = program.kill();
             let _ = program.wait();
         }
+        if std::thread::panicking() {
+            eprintln!("{}", self.log());
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
+/// Runs what a test does by itself, with tasks of its own.
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test)
+}
+
 /// Plays a scenario with these wires in front and behind; the answers that it expected.
 pub fn play(front: Wire, behind: Wire, scenario: &str) -> Vec<String> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, async {
+    run(async {
         let mut stage = Stage::set(front, behind, scenario.trim().lines().next().unwrap_or("")).await;
         for line in scenario.lines().map(str::trim).filter(|l| !l.starts_with('#')) {
             let long = if line.starts_with("flood") { LONG * 20 } else { LONG };
