--- /dev/null
+++ b/crates/routes/src/document.rs
@@ -0,0 +1,246 @@
+//! Cuts a file of rules into its rules and the rest without parsing it, so that each rule can be parsed, and
+//! recognised as unchanged, by itself.
+//!
+//! The file is read as tokens by TOML's own lexer: a rule begins at a line that holds the header `[[rule]]`
+//! outside of any value and ends where the next header begins that is not one of its sub-tables. What is left is
+//! the skeleton, in which one empty header stands for each run of rules: whatever the rest of the file says
+//! about the same key is still found by parsing it. A file that spells its headers in a way that this module
+//! does not resolve (escapes in a quoted key, a sub-table apart from its rule) has no sections: its skeleton is
+//! the whole file.
+
+use std::borrow::Cow;
+use std::ops::Range;
+use toml_parser::lexer::{Lexer, Token, TokenKind};
+use toml_parser::Source;
+
+/// The key of the array of rules.
+pub(crate) const RULES: &str = "rule";
+
+/// A run of an excerpt's bytes that stand together in the file.
+#[derive(Clone, Copy)]
+struct Piece {
+    /// Where it begins in the excerpt.
+    start: usize,
+    /// Where it begins in the file.
+    offset: usize,
+}
+
+/// A part of a file that is parsed by itself, with the places that it has in the file.
+pub(crate) struct Excerpt<'t> {
+    text: Cow<'t, str>,
+    pieces: Vec<Piece>,
+}
+
+impl<'t> Excerpt<'t> {
+    /// These bytes of the file.
+    pub(crate) fn range(text: &'t str, range: Range<usize>) -> Excerpt<'t> {
+        let pieces = vec![Piece { start: 0, offset: range.start }];
+        Excerpt { text: Cow::Borrowed(text.get(range).unwrap_or("")), pieces }
+    }
+
+    /// Its text.
+    pub(crate) fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Where these of its bytes are in the file.
+    pub(crate) fn in_file(&self, span: &Range<usize>) -> Range<usize> {
+        let start = self.offset(span.start);
+        let end = if span.end > span.start { self.offset(span.end - 1) + 1 } else { start };
+        start..end.max(start)
+    }
+
+    fn offset(&self, at: usize) -> usize {
+        let following = self.pieces.partition_point(|piece| piece.start <= at);
+        match following.checked_sub(1).and_then(|last| self.pieces.get(last)) {
+            Some(piece) => piece.offset + (at - piece.start),
+            None => at,
+        }
+    }
+
+    /// Adds further bytes of the file.
+    fn push(&mut self, text: &str, range: Range<usize>) {
+        if range.is_empty() {
+            return;
+        }
+        self.pieces.push(Piece { start: self.text.len(), offset: range.start });
+        self.text.to_mut().push_str(text.get(range).unwrap_or(""));
+    }
+}
+
+/// A file cut into its rules and the rest.
+pub(crate) struct Document<'t> {
+    /// All but the rules.
+    pub(crate) skeleton: Excerpt<'t>,
+    /// The bytes of each rule, from its header on.
+    pub(crate) sections: Vec<Range<usize>>,
+}
+
+impl<'t> Document<'t> {
+    /// Cuts a file whose rules are those of the table `part`, or its own.
+    pub(crate) fn split(text: &'t str, part: Option<&str>) -> Document<'t> {
+        let path: Vec<&str> = part.into_iter().chain([RULES]).collect();
+        let mut skeleton = Excerpt { text: Cow::Owned(String::new()), pieces: Vec::new() };
+        let mut sections = Vec::new();
+        let mut open = 0;
+        let mut in_rule = false;
+        for header in Headers::new(text, &path) {
+            match (header.kind, in_rule) {
+                (HeaderKind::Unresolved, _) | (HeaderKind::OfRule, false) => return Document::whole(text),
+                (HeaderKind::OfRule, true) | (HeaderKind::Other, false) => continue,
+                (HeaderKind::Rule | HeaderKind::Other, true) => sections.push(open..header.span.start),
+                (HeaderKind::Rule, false) => {
+                    skeleton.push(text, open..header.span.end);
+                    skeleton.text.to_mut().push('\n');
+                }
+            }
+            open = header.span.start;
+            in_rule = header.kind == HeaderKind::Rule;
+        }
+        if in_rule {
+            sections.push(open..text.len());
+        } else {
+            skeleton.push(text, open..text.len());
+        }
+        Document { skeleton, sections }
+    }
+
+    /// A file that is parsed in one piece.
+    fn whole(text: &'t str) -> Document<'t> {
+        Document { skeleton: Excerpt::range(text, 0..text.len()), sections: Vec::new() }
+    }
+}
+
+/// What a header is to the rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeaderKind {
+    /// It begins a rule.
+    Rule,
+    /// It belongs to the rule before it.
+    OfRule,
+    /// It has to do with no rule.
+    Other,
+    /// Its key is spelt in a way that only a parser resolves.
+    Unresolved,
+}
+
+struct Header {
+    kind: HeaderKind,
+    /// From the beginning of its line to its last bracket.
+    span: Range<usize>,
+}
+
+/// The headers of a file in order.
+struct Headers<'t, 'p> {
+    text: &'t str,
+    path: &'p [&'p str],
+    lexer: Lexer<'t>,
+    /// Brackets that are open.
+    depth: usize,
+    /// Where the line begins, as long as nothing but white space stood in it.
+    line_start: Option<usize>,
+}
+
+impl<'t, 'p> Headers<'t, 'p> {
+    fn new(text: &'t str, path: &'p [&'p str]) -> Headers<'t, 'p> {
+        Headers { text, path, lexer: Source::new(text).lex(), depth: 0, line_start: Some(0) }
+    }
+
+    /// The header whose first bracket has just been read, up to the end of its line.
+    fn header(&mut self, line_start: usize, bracket: Token) -> Header {
+        let mut tokens = vec![bracket];
+        for token in self.lexer.by_ref() {
+            match token.kind() {
+                TokenKind::Newline => {
+                    self.line_start = Some(token.span().end());
+                    break;
+                }
+                TokenKind::Whitespace | TokenKind::Comment | TokenKind::Eof => {}
+                _ => tokens.push(token),
+            }
+        }
+        let (kind, length) = self.kind(&tokens);
+        let last = tokens.get(length.saturating_sub(1)).unwrap_or(&bracket);
+        Header { kind, span: line_start..last.span().end() }
+    }
+
+    /// What a header's tokens are to the rules, and how many of them are the header itself. A malformed header
+    /// is no rule's: the parser finds it in the skeleton.
+    fn kind(&self, tokens: &[Token]) -> (HeaderKind, usize) {
+        let opens = |at: usize| tokens.get(at).is_some_and(|t| t.kind() == TokenKind::LeftSquareBracket);
+        let closes = |at: usize| tokens.get(at).is_some_and(|t| t.kind() == TokenKind::RightSquareBracket);
+        let brackets = if opens(1) { 2 } else { 1 };
+        let mut at = brackets;
+        let mut path = Vec::new();
+        loop {
+            match tokens.get(at).map(|token| self.key(token)) {
+                Some(Key::Plain(key)) => path.push(key),
+                Some(Key::Unresolved) => return (HeaderKind::Unresolved, tokens.len()),
+                Some(Key::None) | None => return (HeaderKind::Other, tokens.len()),
+            }
+            at += 1;
+            if tokens.get(at).is_none_or(|token| token.kind() != TokenKind::Dot) {
+                break;
+            }
+            at += 1;
+        }
+        if !closes(at) || (brackets == 2 && !closes(at + 1)) {
+            return (HeaderKind::Other, tokens.len());
+        }
+        let kind = match path.starts_with(self.path) {
+            true if brackets == 2 && path.len() == self.path.len() => HeaderKind::Rule,
+            true => HeaderKind::OfRule,
+            false => HeaderKind::Other,
+        };
+        (kind, at + brackets)
+    }
+
+    fn key(&self, token: &Token) -> Key<'t> {
+        let raw = self.text.get(token.span().start()..token.span().end()).unwrap_or("");
+        let within = |quote: char| raw.strip_prefix(quote).and_then(|rest| rest.strip_suffix(quote));
+        let quoted = match token.kind() {
+            TokenKind::Atom => return Key::Plain(raw),
+            TokenKind::LiteralString => within('\''),
+            TokenKind::BasicString if raw.contains('\\') => return Key::Unresolved,
+            TokenKind::BasicString => within('"'),
+            _ => None,
+        };
+        quoted.map_or(Key::None, Key::Plain)
+    }
+}
+
+/// A segment of a header's path.
+enum Key<'t> {
+    Plain(&'t str),
+    /// It has escapes.
+    Unresolved,
+    /// It is none.
+    None,
+}
+
+impl Iterator for Headers<'_, '_> {
+    type Item = Header;
+
+    fn next(&mut self) -> Option<Header> {
+        while let Some(token) = self.lexer.next() {
+            match token.kind() {
+                TokenKind::Newline if self.depth == 0 => self.line_start = Some(token.span().end()),
+                TokenKind::Newline | TokenKind::Whitespace | TokenKind::Comment => {}
+                TokenKind::LeftSquareBracket if self.depth == 0 && self.line_start.is_some() => {
+                    let line_start = self.line_start.take().unwrap_or(token.span().start());
+                    return Some(self.header(line_start, token));
+                }
+                TokenKind::LeftSquareBracket | TokenKind::LeftCurlyBracket => {
+                    self.depth += 1;
+                    self.line_start = None;
+                }
+                TokenKind::RightSquareBracket | TokenKind::RightCurlyBracket => {
+                    self.depth = self.depth.saturating_sub(1);
+                    self.line_start = None;
+                }
+                _ => self.line_start = None,
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/routes/src/environment.rs
@@ -0,0 +1,102 @@
+//! What the rules of a file are judged by besides their own text: the platform's catalog, the declared effects,
+//! the names of the pools and the ceilings of costs. Rules that were read in an equal environment are judged
+//! equally, so that they may be taken over.
+
+use crate::document::RULES;
+use crate::effect::{Declared, Effect};
+use crate::reader::{Value, Values};
+use toml::de::DeTable;
+
+/// Most units that one expression may cost unless the file says otherwise.
+const DEFAULT_EXPRESSION_COST: f64 = 10_000.0;
+/// Most units that one request may cost unless the file says otherwise.
+const DEFAULT_REQUEST_COST: f64 = 200_000.0;
+/// Highest ceiling that a file may name, in units.
+const MOST_CEILING: f64 = 1e7;
+
+/// What a file of rules is judged by, from the platform's settings.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Catalog {
+    /// Classes and their effects.
+    pub classes: Vec<(String, Effect)>,
+    /// Plans.
+    pub plans: Vec<String>,
+    /// Most units that one request counts.
+    pub most_units: f64,
+}
+
+/// What the rules of one file are judged by.
+#[derive(Debug, PartialEq)]
+pub(crate) struct Environment {
+    pub(crate) catalog: Catalog,
+    pub(crate) declared: Declared,
+    /// Names of the pools.
+    pub(crate) pools: Vec<String>,
+    /// Most units that one expression may cost.
+    pub(crate) expression_cost: u64,
+}
+
+/// Ceilings of costs, in units.
+pub(crate) struct Ceilings {
+    pub(crate) expression: u64,
+    pub(crate) request: u64,
+}
+
+/// Notes what stands beside the known parts of a file.
+pub(crate) fn known_parts(values: &mut Values<'_, '_>, table: &DeTable<'_>) {
+    values.known_keys(table, &["cost", "effects", "pool", RULES]);
+}
+
+/// Reads the ceilings of costs.
+pub(crate) fn ceilings(values: &mut Values<'_, '_>, table: &DeTable<'_>) -> Ceilings {
+    let (mut expression, mut request) = (DEFAULT_EXPRESSION_COST, DEFAULT_REQUEST_COST);
+    if let Some(cost) = table.get("cost").and_then(|cost| values.table(cost)) {
+        values.known_keys(cost, &["expression", "request"]);
+        for (name, ceiling) in [("expression", &mut expression), ("request", &mut request)] {
+            if let Some(value) = cost.get(name) {
+                *ceiling = values.number(value, 1.0..=MOST_CEILING).unwrap_or(*ceiling);
+            }
+        }
+    }
+    Ceilings { expression: expression as u64, request: request as u64 }
+}
+
+/// Reads the effects that requests are declared to have.
+pub(crate) fn effects(values: &mut Values<'_, '_>, table: &DeTable<'_>) -> Declared {
+    let mut declared = Declared::default();
+    let Some(effects) = table.get("effects").and_then(|effects| values.table(effects)) else {
+        return declared;
+    };
+    values.known_keys(effects, &["methods", "paths"]);
+    if let Some(methods) = effects.get("methods").and_then(|methods| values.table(methods)) {
+        for (name, value) in methods.iter() {
+            let name: &str = name.get_ref();
+            if let Some(effect) = effect(values, value) {
+                declared.methods.insert(name.to_string(), effect);
+            }
+        }
+    }
+    if let Some(paths) = effects.get("paths").and_then(|paths| values.table(paths)) {
+        for (name, value) in paths.iter() {
+            let name: &str = name.get_ref();
+            let Some(effect) = effect(values, value) else { continue };
+            if name.starts_with('/') {
+                declared.paths.push((name.to_string(), effect));
+            } else {
+                let problem = format!("{name:?} is no beginning of a path");
+                values.fault(value.span(), problem, Some("it begins with /".into()));
+            }
+        }
+    }
+    declared
+}
+
+fn effect(values: &mut Values<'_, '_>, value: &Value<'_>) -> Option<Effect> {
+    let text = values.string(value)?;
+    let effect = Effect::named(&text.text);
+    if effect.is_none() {
+        let help = Some("pure, token or side_effect was expected".into());
+        values.fault(text.span, format!("there is no effect {:?}", text.text), help);
+    }
+    effect
+}
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -11,19 +11,36 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod content;
+mod cost;
+mod document;
 mod effect;
-mod file;
+mod environment;
+mod explain;
+mod expressions;
+mod fault;
 mod limit;
+mod mapping;
+mod names;
+mod pool;
+mod read;
+mod reader;
 mod request;
 mod route;
+mod rule;
+mod rule_reader;
 mod rules;
 
 pub use effect::{Effect, COMMANDS};
-pub use file::Fault;
+pub use environment::Catalog;
+pub use explain::{Explained, Explainer};
+pub use fault::Fault;
 pub use limit::{Allowance, Limit, Ticket};
+pub use pool::{ANY, MOST_POOLS};
+pub use read::{ReadOptions, ReadReport, DEFAULT_MOST_BYTES};
 pub use request::{
     bound, instance_schema, request_schema, Headers, Instance, NoHeaders, Request, MOST_HEADER, MOST_HEADERS,
     MOST_LABELS, MOST_NAME, MOST_PATH,
 };
-pub use route::{Explained, Mapped, Route, Router, TooSoon, Verdict, ALL};
-pub use rules::{Catalog, Rules, ANY, MOST_FILE, MOST_POOLS, MOST_RULES};
+pub use route::{Mapped, Replaced, Route, Router, TooSoon, Verdict, ALL};
+pub use rules::Rules;
--- a/crates/routes/src/limit.rs
+++ b/crates/routes/src/limit.rs
@@ -1,17 +1,18 @@
-//! Local limits by key: a rate with a burst, or most at once. It owns what is remembered of each key, in memory
-//! that is bounded whatever keys arrive. It must never let a key through beyond its limit as long as no more
-//! keys are active together than it has places for, nor give a time to come back that is too early. It is told
-//! the time.
+//! Local limits by key: a rate with a burst, or most at once. What is remembered of each key is in memory that is
+//! bounded whatever keys arrive. No key is let through beyond its limit as long as no more keys are active
+//! together than there are places for, and no time to come back is too early. A limit is told the time.
+//!
+//! The places are allocated with the first request, so that a limit that no request meets takes little; where
+//! memory is planned they count in full.
 //!
 //! A rate is the generic cell rate algorithm: of each key one time is kept, that at which its store will be full
 //! again. A key whose time has passed is as good as unknown, so that its place is free. Places lie in sets of
 //! eight by the key's hash; a key that finds its set full takes over the place that will be free first, with what
 //! that one still owes: it may be refused early, and all keys together never get more than all places allow.
 
-use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Places in a set.
 const WAYS: usize = 8;
@@ -46,17 +47,27 @@
 /// A limit and what it remembers.
 pub struct Limit {
     allowance: Allowance,
+    /// Sets of places that a rate has.
+    sets: usize,
     hasher: RandomState,
-    places: RefCell<Vec<Place>>,
+    state: Mutex<State>,
+}
+
+/// What a limit remembers.
+#[derive(Default)]
+struct State {
+    /// Rate: empty before the first request.
+    places: Vec<Place>,
     /// At once: requests under way by key. As many keys as requests at most.
-    under_way: RefCell<HashMap<u64, u32>>,
-    refused: Cell<u64>,
-    shared: Cell<u64>,
+    under_way: HashMap<u64, u32>,
+    refused: u64,
+    /// Keys that had to take over another's place.
+    shared: u64,
 }
 
 /// A request's place under an at-once limit, given back when dropped.
 pub struct Ticket {
-    limit: Rc<Limit>,
+    limit: Arc<Limit>,
     key: u64,
 }
 
@@ -68,7 +79,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        let mut under_way = self.limit.under_way.borrow_mut();
+        let under_way = &mut self.limit.state().under_way;
         if let Some(count) = under_way.get_mut(&self.key) {
             *count -= 1;
             if *count == 0 {
@@ -81,50 +92,49 @@
 impl Limit {
     /// A limit that remembers about `keys` keys.
     pub fn new(allowance: Allowance, keys: usize) -> Limit {
-        let sets = keys.div_ceil(WAYS).next_power_of_two();
-        let places = match allowance {
-            Allowance::Rate { .. } => vec![Place::default(); sets * WAYS],
-            Allowance::AtOnce { .. } => Vec::new(),
+        let sets = match allowance {
+            Allowance::Rate { .. } => keys.div_ceil(WAYS).next_power_of_two(),
+            Allowance::AtOnce { .. } => 0,
         };
-        Limit {
-            allowance,
-            hasher: RandomState::new(),
-            places: places.into(),
-            under_way: RefCell::default(),
-            refused: Cell::new(0),
-            shared: Cell::new(0),
-        }
+        Limit { allowance, sets, hasher: RandomState::new(), state: Mutex::default() }
     }
 
-    /// Bytes that it takes, roughly.
+    /// What it remembers. A thread that panicked while it held the lock left whole figures behind.
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Bytes that it takes once requests have met it, roughly.
     pub fn memory(&self) -> usize {
-        self.places.borrow().capacity() * size_of::<Place>() + self.under_way.borrow().capacity() * 16
+        self.sets * WAYS * size_of::<Place>() + self.state().under_way.capacity() * size_of::<(u64, u32)>()
     }
 
     /// Refusals so far, and keys that had to take over another's place.
     pub fn figures(&self) -> (u64, u64) {
-        (self.refused.get(), self.shared.get())
+        let state = self.state();
+        (state.refused, state.shared)
     }
 
     /// Keys of which something is remembered at `now`, ms.
     pub fn keys(&self, now: f64) -> usize {
-        let held = self.places.borrow().iter().filter(|place| place.full > now).count();
-        held + self.under_way.borrow().len()
+        let state = self.state();
+        state.places.iter().filter(|place| place.full > now).count() + state.under_way.len()
     }
 
     /// Whether one more request of a key may pass at `now`, ms; if not, in how many ms it may. Nothing is taken
     /// yet: [`Limit::take`] does that once all other limits have agreed.
     pub fn ask(&self, key: &str, now: f64) -> Result<u64, f64> {
         let hash = self.hasher.hash_one(key).max(1);
+        let mut state = self.state();
         let wait = match self.allowance {
             Allowance::Rate { rate, burst } => {
                 let gap = 1000.0 / rate;
-                let full = self.place(hash, now, |place| place.full);
+                let full = state.place(self.sets, hash).map_or(now, |place| place.full);
                 // The store holds `burst`: it may lack that many less the one that is asked for.
                 (full.max(now) - now - (burst - 1.0) * gap).max(0.0)
             }
             Allowance::AtOnce { most, after_ms } => {
-                let count = self.under_way.borrow().get(&hash).copied().unwrap_or(0);
+                let count = state.under_way.get(&hash).copied().unwrap_or(0);
                 if count < most {
                     0.0
                 } else {
@@ -134,117 +144,44 @@
         };
         // Less than a thousandth is a matter of rounding.
         if wait > 1e-3 {
-            self.refused.set(self.refused.get() + 1);
+            state.refused += 1;
             return Err(wait);
         }
         Ok(hash)
     }
 
     /// Takes what [`Limit::ask`] has allowed.
-    pub fn take(self: &Rc<Self>, key: u64, now: f64) -> Option<Ticket> {
+    pub fn take(self: &Arc<Self>, key: u64, now: f64) -> Option<Ticket> {
+        let mut state = self.state();
         match self.allowance {
             Allowance::Rate { rate, .. } => {
                 let gap = 1000.0 / rate;
-                self.place(key, now, |place| {
-                    if place.key != key && place.full > now {
-                        self.shared.set(self.shared.get() + 1);
-                    }
-                    place.key = key;
-                    place.full = place.full.max(now) + gap;
-                    place.full
-                });
+                let place = state.place(self.sets, key)?;
+                let taken_over = place.key != key && place.full > now;
+                place.key = key;
+                place.full = place.full.max(now) + gap;
+                state.shared += u64::from(taken_over);
                 None
             }
             Allowance::AtOnce { .. } => {
-                *self.under_way.borrow_mut().entry(key).or_default() += 1;
+                *state.under_way.entry(key).or_default() += 1;
                 Some(Ticket { limit: self.clone(), key })
             }
         }
     }
-
-    /// A key's place: its own, a free one, or that which will be free first.
-    fn place(&self, key: u64, now: f64, act: impl FnOnce(&mut Place) -> f64) -> f64 {
-        let mut places = self.places.borrow_mut();
-        let sets = places.len() / WAYS;
-        let first = (key as usize & (sets - 1)) * WAYS;
-        let set = &mut places[first..first + WAYS];
-        if let Some(place) = set.iter_mut().find(|place| place.key == key) {
-            return act(place);
-        }
-        let Some(place) = set.iter_mut().min_by(|a, b| a.full.total_cmp(&b.full)) else { return now };
-        act(place)
-    }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn passed(limit: &Rc<Limit>, key: &str, now: f64) -> Result<Option<Ticket>, f64> {
-        limit.ask(key, now).map(|hash| limit.take(hash, now))
-    }
-
-    fn rate(rate: f64, burst: f64, keys: usize) -> Rc<Limit> {
-        Rc::new(Limit::new(Allowance::Rate { rate, burst }, keys))
-    }
-
-    #[test]
-    fn a_rate_lets_a_burst_through_and_tells_the_time_exactly() {
-        let limit = rate(10.0, 5.0, 64);
-        assert_eq!((0..20).filter(|_| passed(&limit, "a", 1000.0).is_ok()).count(), 5);
-        let wait = limit.ask("a", 1000.0).unwrap_err();
-        assert!((wait - 100.0).abs() < 1e-6, "{wait}");
-        assert!(limit.ask("a", 1000.0 + wait - 0.5).is_err());
-        assert!(passed(&limit, "a", 1000.0 + wait).is_ok());
-        // Another key has a store of its own; a pause fills this one, and no fuller than it gets.
-        assert!(passed(&limit, "b", 1000.0).is_ok());
-        assert_eq!((0..20).filter(|_| passed(&limit, "a", 1e6).is_ok()).count(), 5);
-    }
-
-    #[test]
-    fn over_a_long_time_exactly_the_rate_passes() {
-        let limit = rate(7.0, 3.0, 64);
-        let count = (0..60_000).filter(|ms| passed(&limit, "a", f64::from(*ms)).is_ok()).count();
-        assert!((420..=423).contains(&count), "{count}");
-    }
-
-    #[test]
-    fn at_once_counts_what_is_under_way_and_forgets_the_rest() {
-        let limit = Rc::new(Limit::new(Allowance::AtOnce { most: 2, after_ms: 250.0 }, 0));
-        let held: Vec<_> = (0..2).map(|_| passed(&limit, "a", 0.0).unwrap()).collect();
-        assert_eq!(limit.ask("a", 0.0), Err(250.0));
-        assert!(limit.ask("b", 0.0).is_ok());
-        drop(held);
-        assert!(passed(&limit, "a", 0.0).is_ok());
-        assert_eq!(limit.keys(0.0), 0);
-    }
-
-    #[test]
-    fn whatever_keys_arrive_memory_stays_and_all_together_get_what_the_places_allow() {
-        let limit = rate(1.0, 2.0, 1024);
-        let before = limit.memory();
-        let mut let_in = 0;
-        for round in 0..5 {
-            for key in 0..100_000 {
-                let now = f64::from(round) * 1000.0 + f64::from(key) * 0.01;
-                let_in += usize::from(passed(&limit, &format!("k{key}"), now).is_ok());
-            }
-        }
-        assert_eq!(limit.memory(), before);
-        // 1,024 places with a burst of 2 and one a second over 5 s.
-        assert!(let_in <= 1024 * (2 + 5), "{let_in}");
-        assert!(let_in >= 1024 * 4, "{let_in}");
-        assert!(limit.figures().1 > 0 && limit.keys(1e9) == 0);
-    }
-
-    #[test]
-    fn a_key_keeps_its_limit_beside_as_many_as_there_are_places_for() {
-        let limit = rate(1.0, 1.0, 4096);
-        for key in 0..400 {
-            assert!(passed(&limit, &format!("k{key}"), 0.0).is_ok());
-        }
-        for key in 0..400 {
-            assert!(passed(&limit, &format!("k{key}"), 500.0).is_err());
+impl State {
+    /// A key's place among so many sets: its own, a free one, or that which will be free first.
+    fn place(&mut self, sets: usize, key: u64) -> Option<&mut Place> {
+        if self.places.is_empty() {
+            self.places = vec![Place::default(); sets * WAYS];
         }
+        let first = (key as usize & (sets - 1)) * WAYS;
+        let set = self.places.get_mut(first..first + WAYS)?;
+        let own = set.iter().position(|place| place.key == key);
+        let freed_first = || (0..set.len()).min_by(|a, b| set[*a].full.total_cmp(&set[*b].full));
+        let at = own.or_else(freed_first)?;
+        set.get_mut(at)
     }
 }
--- /dev/null
+++ b/crates/routes/src/names.rs
@@ -0,0 +1,41 @@
+//! Names in a file of rules: which may be used, and which known one a wrong one is near to.
+
+use crate::reader::{Text, Values};
+use std::ops::Range;
+use toml::de::DeTable;
+
+/// Longest name of a rule or a pool.
+const MOST_NAME: usize = 64;
+/// Most known names that are told where none is near.
+const MOST_TOLD: usize = 12;
+
+fn is_plain(name: &str) -> bool {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    !name.is_empty() && name.len() <= MOST_NAME && name.bytes().all(plain)
+}
+
+/// The name of a rule or a pool.
+pub(crate) fn name(values: &mut Values<'_, '_>, fields: &DeTable<'_>, span: Range<usize>) -> Option<Text> {
+    let Some(name) = fields.get("name") else {
+        values.fault(span, "`name` is missing", None);
+        return None;
+    };
+    let name = values.string(name)?;
+    if !is_plain(&name.text) {
+        let help = Some(format!("letters, digits, - _ and . up to {MOST_NAME}"));
+        values.fault(name.span, "the name cannot be used", help);
+        return None;
+    }
+    Some(name)
+}
+
+/// The known name that is nearest, or the first of them.
+pub(crate) fn nearest<'a>(wrong: &str, known: impl Iterator<Item = &'a str> + Clone) -> String {
+    let nearest = known.clone().map(|name| (strsim::damerau_levenshtein(wrong, name), name)).min();
+    match nearest {
+        Some((distance, name)) if distance <= (wrong.len() / 3).clamp(1, 2) => {
+            format!("did you mean {name:?}?")
+        }
+        _ => format!("known are {}", known.take(MOST_TOLD).collect::<Vec<_>>().join(", ")),
+    }
+}
--- /dev/null
+++ b/crates/routes/src/pool.rs
@@ -0,0 +1,183 @@
+//! Pools of instances: which instances are in each, and where its requests go while none of them is ready.
+
+use crate::expressions::{Compile, Compiled, Interner};
+use crate::names::{name, nearest};
+use crate::reader::{Value, Values};
+use crate::request::instance_schema;
+use driftgap_expr::{Expression, FieldId, Input, Schema, Scratch, Type};
+use toml::de::DeTable;
+
+/// Most pools: an instance's are a word of bits, one of which stands for all instances.
+pub const MOST_POOLS: usize = 62;
+/// The name that stands for all instances.
+pub const ANY: &str = "any";
+/// Longest time that a rule or a pool sends a client away, ms.
+pub(crate) const MOST_AWAY: f64 = 600_000.0;
+/// When a client is to come back to a pool without a ready instance unless the file says otherwise, ms.
+const DEFAULT_AWAY: f64 = 1000.0;
+
+/// Where a pool's requests go while none of its instances is ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fallback {
+    Refuse,
+    Pool(usize),
+    Any,
+}
+
+/// A pool of instances.
+pub(crate) struct Pool {
+    pub(crate) name: String,
+    /// The text of its test, by which it is known again in another file.
+    pub(crate) text: String,
+    pub(crate) when: Compiled,
+    pub(crate) fallback: Fallback,
+    /// When a refused client is to come back, ms.
+    pub(crate) after_ms: f64,
+}
+
+impl Pool {
+    /// Whether a pool of another file takes the same instances under the same name.
+    pub(crate) fn is_same(&self, other: &Pool) -> bool {
+        self.name == other.name && self.text == other.text
+    }
+}
+
+/// The list of pools of a file.
+pub(crate) fn list<'v, 'd>(values: &mut Values<'_, '_>, table: &'v DeTable<'d>) -> &'v [Value<'d>] {
+    let Some(list) = table.get("pool") else { return &[] };
+    let list = values.array(list);
+    if list.len() > MOST_POOLS {
+        values.fault(list[MOST_POOLS].span(), format!("more than {MOST_POOLS} pools"), None);
+        return &[];
+    }
+    list
+}
+
+/// The names of all pools: one may fall back on another further down.
+pub(crate) fn names(values: &mut Values<'_, '_>, list: &[Value<'_>]) -> Vec<String> {
+    let mut names: Vec<String> = Vec::new();
+    for value in list {
+        let Some(fields) = values.table(value) else { continue };
+        let Some(name) = name(values, fields, value.span()) else { continue };
+        if names.contains(&name.text) || name.text == ANY {
+            let help = if name.text == ANY { "it stands for all instances" } else { "there is one already" };
+            let problem = format!("no further pool can be named {:?}", name.text);
+            values.fault(name.span, problem, Some(help.into()));
+        }
+        names.push(name.text);
+    }
+    names
+}
+
+/// The pools of a list, with these names.
+pub(crate) fn pools(
+    values: &mut Values<'_, '_>,
+    list: &[Value<'_>],
+    names: &[String],
+    interner: &mut Interner,
+) -> Vec<Pool> {
+    let schema = instance_schema();
+    let mut pools = Vec::with_capacity(list.len());
+    for (value, name) in list.iter().zip(names) {
+        let Some(fields) = values.table(value) else { continue };
+        pools.extend(pool(values, value, fields, name, names, &schema, interner));
+    }
+    refuse_rings(values, list, &pools);
+    pools
+}
+
+fn pool(
+    values: &mut Values<'_, '_>,
+    value: &Value<'_>,
+    fields: &DeTable<'_>,
+    name: &str,
+    names: &[String],
+    schema: &Schema,
+    interner: &mut Interner,
+) -> Option<Pool> {
+    values.known_keys(fields, &["name", "when", "fallback", "after"]);
+    let fallback = fallback(values, fields, names);
+    let after_ms = time(values, fields, "after", DEFAULT_AWAY);
+    let Some(when) = fields.get("when") else {
+        values.fault(value.span(), format!("pool {name:?} has no `when`"), None);
+        return None;
+    };
+    let when = values.string(when)?;
+    let checked = values.expression(&when, schema, &Default::default(), &Type::Bool)?;
+    let (name, text) = (name.to_string(), when.text);
+    Some(Pool { name, text, when: checked.compile(interner), fallback, after_ms })
+}
+
+fn fallback(values: &mut Values<'_, '_>, fields: &DeTable<'_>, names: &[String]) -> Fallback {
+    let Some(text) = fields.get("fallback").and_then(|fallback| values.string(fallback)) else {
+        return Fallback::Refuse;
+    };
+    match (text.text.as_str(), names.iter().position(|name| *name == text.text)) {
+        ("refuse", _) => Fallback::Refuse,
+        (ANY, _) => Fallback::Any,
+        (_, Some(other)) => Fallback::Pool(other),
+        (other, None) => {
+            let help = nearest_pool(other, names);
+            values.fault(text.span, format!("there is no pool {other:?}"), Some(help));
+            Fallback::Refuse
+        }
+    }
+}
+
+/// Refuses pools that fall back on each other in a ring.
+fn refuse_rings(values: &mut Values<'_, '_>, list: &[Value<'_>], pools: &[Pool]) {
+    if pools.len() != list.len() {
+        return;
+    }
+    for (start, value) in list.iter().enumerate() {
+        let (mut at, mut steps) = (start, 0);
+        while let Fallback::Pool(next) = pools[at].fallback {
+            (at, steps) = (next, steps + 1);
+            if at == start || steps > pools.len() {
+                let problem = format!("pool {:?} falls back on itself", pools[start].name);
+                let help = "one pool of the ring must refuse, or fall back on any";
+                values.fault(value.span(), problem, Some(help.into()));
+                break;
+            }
+        }
+    }
+}
+
+/// What is told of a pool that there is not.
+pub(crate) fn nearest_pool(wrong: &str, names: &[String]) -> String {
+    nearest(wrong, names.iter().map(String::as_str).chain([ANY]))
+}
+
+/// A time after which a client is to come back, ms.
+pub(crate) fn time(values: &mut Values<'_, '_>, fields: &DeTable<'_>, key: &str, absent: f64) -> f64 {
+    let Some(text) = fields.get(key).and_then(|after| values.string(after)) else {
+        return absent;
+    };
+    match duration(&text.text).filter(|ms| (0.0..=MOST_AWAY).contains(ms)) {
+        Some(ms) => ms,
+        None => {
+            let help = Some("a time up to 10m, such as \"250ms\" or \"1.5s\", was expected".into());
+            values.fault(text.span, format!("{:?} is no time to come back", text.text), help);
+            absent
+        }
+    }
+}
+
+/// A duration as expressions spell it, ms.
+fn duration(text: &str) -> Option<f64> {
+    let quoted = format!("duration({text:?})");
+    let duration = Expression::new(&quoted, &Schema::new()).ok()?;
+    match duration.eval(&NoInput, &mut Scratch::default()) {
+        Ok(Some(driftgap_expr::Value::Duration(ms))) => Some(ms as f64),
+        _ => None,
+    }
+}
+
+/// An input without fields.
+struct NoInput;
+
+impl Input for NoInput {
+    fn get(&self, _: FieldId) -> Option<driftgap_expr::Value<'_>> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/routes/src/read.rs
@@ -0,0 +1,421 @@
+//! Reading a file of rules: every rule that stood in the file before is taken over, only the others are parsed,
+//! checked and compiled. A file that is wrong anywhere yields no rules but all of its faults.
+
+use crate::content::ContentHash;
+use crate::cost::worst_request;
+use crate::document::{Document, Excerpt, RULES};
+use crate::environment::{ceilings, effects, known_parts, Catalog, Ceilings, Environment};
+use crate::fault::Fault;
+use crate::limit::Limit;
+use crate::names;
+use crate::pool::{self, Pool};
+use crate::reader::{Reader, Value, Values};
+use crate::request::request_schema;
+use crate::rule::{CheckedRule, LimitSpec, Rule, RuleLimit, Shared};
+use crate::rule_reader::{refuse_second, RuleFields, RuleReader};
+use crate::rules::{RuleSet, Rules};
+use driftgap_expr::{Schema, Selector};
+use std::cell::OnceCell;
+use std::collections::{HashMap, HashSet};
+use std::ops::Range;
+use std::sync::{Arc, MutexGuard};
+use toml::de::DeTable;
+
+/// Bytes that reading a file may take unless told otherwise.
+pub const DEFAULT_MOST_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes that a parser takes for each byte of what it parses in one piece, at most.
+const PARSED_FACTOR: usize = 16;
+
+/// How a file is read.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadOptions<'a> {
+    /// The rules in force: those that the file still has are taken over with the states of their limits.
+    pub previous: Option<&'a Rules>,
+    /// Bytes that the file's text, the rules in force and those that are compiled anew may take together. A file
+    /// that has changed throughout counts in full beside the rules in force, until those are dropped.
+    pub most_bytes: usize,
+}
+
+impl Default for ReadOptions<'_> {
+    fn default() -> Self {
+        ReadOptions { previous: None, most_bytes: DEFAULT_MOST_BYTES }
+    }
+}
+
+/// What reading a file took.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadReport {
+    /// Rules that were taken over.
+    pub taken_over: usize,
+    /// Rules that were parsed, checked and compiled.
+    pub compiled: usize,
+}
+
+/// What is read.
+pub(crate) struct Input<'a> {
+    pub(crate) text: &'a str,
+    /// The file's name for messages.
+    pub(crate) file: &'a str,
+    /// The table that holds the rules; none: the file's own.
+    pub(crate) part: Option<&'a str>,
+    pub(crate) catalog: &'a Catalog,
+}
+
+/// Reads a file; checked rules are left in `keep` as well, where it is given.
+pub(crate) fn read(
+    input: &Input<'_>,
+    options: &ReadOptions<'_>,
+    keep: Option<&mut Vec<CheckedRule>>,
+) -> Result<Rules, Vec<Fault>> {
+    let length = input.text.len();
+    if length > options.most_bytes {
+        let problem = format!("the file has {length} bytes, {} are the most", options.most_bytes);
+        return Err(vec![Fault::of_file(input.file, &problem)]);
+    }
+    let shared = options.previous.map_or_else(Default::default, |rules| rules.set.shared.clone());
+    let mut reader = Reader::new(input.text, input.file);
+    let mut table = crate::rules::lock(&shared);
+    table.sweep();
+    let set = Reading::new(input, options, &mut reader, &mut table, keep).read();
+    if let Some(parts) = set.filter(|_| reader.clean()) {
+        drop(table);
+        return Ok(Rules::new(parts.finish(shared)));
+    }
+    table.sweep();
+    drop(table);
+    Err(reader.into_faults())
+}
+
+/// The parts of a set of rules.
+struct RuleParts {
+    rules: Vec<Arc<Rule>>,
+    pools: Arc<[Pool]>,
+    environment: Arc<Environment>,
+    cost: u64,
+    report: ReadReport,
+}
+
+impl RuleParts {
+    fn finish(self, shared: Arc<std::sync::Mutex<Shared>>) -> RuleSet {
+        let RuleParts { rules, pools, environment, cost, report } = self;
+        let selector = Selector::new(rules.iter().map(|rule| rule.key.facts()));
+        RuleSet::new(rules, pools, environment, selector, cost, report, shared)
+    }
+}
+
+/// The rules in force, as the reading of another file sees them.
+struct Previous<'a> {
+    rules: &'a [Arc<Rule>],
+    by_content: HashMap<ContentHash, u32>,
+    /// Filled when a rule with a limit is compiled.
+    by_name: OnceCell<HashMap<&'a str, u32>>,
+}
+
+impl<'a> Previous<'a> {
+    fn new(previous: Option<&'a Rules>, environment: &Environment) -> Previous<'a> {
+        let rules = previous.map_or(&[][..], |previous| &previous.set.rules);
+        let is_same = previous.is_some_and(|previous| *previous.set.environment == *environment);
+        let numbered = rules.iter().zip(0..).filter(|_| is_same);
+        let by_content = numbered.map(|(rule, number)| (rule.content, number)).collect();
+        Previous { rules, by_content, by_name: OnceCell::new() }
+    }
+
+    /// The rule that was read from this content in an equal environment.
+    fn rule(&self, content: ContentHash) -> Option<&'a Arc<Rule>> {
+        self.rules.get(*self.by_content.get(&content)? as usize)
+    }
+
+    /// The state of an equal limit.
+    fn limit(&self, rule: &str, spec: &LimitSpec) -> Option<Arc<Limit>> {
+        let names = || self.rules.iter().zip(0..).map(|(rule, number)| (&*rule.name, number)).collect();
+        let number = *self.by_name.get_or_init(names).get(rule)?;
+        let held = self.rules.get(number as usize)?.limit.as_deref()?;
+        (held.spec == *spec).then(|| held.limit.clone())
+    }
+}
+
+/// A file under reading.
+struct Reading<'a, 'g, 't> {
+    input: &'a Input<'t>,
+    options: &'a ReadOptions<'a>,
+    reader: &'a mut Reader<'t>,
+    shared: &'a mut MutexGuard<'g, Shared>,
+    keep: Option<&'a mut Vec<CheckedRule>>,
+    schema: Schema,
+    rules: Vec<Arc<Rule>>,
+    /// Names of all rules so far.
+    names: HashSet<ContentHash>,
+    /// Bytes of the rules that were compiled.
+    compiled_bytes: usize,
+    report: ReadReport,
+}
+
+impl<'a, 'g, 't> Reading<'a, 'g, 't> {
+    fn new(
+        input: &'a Input<'t>,
+        options: &'a ReadOptions<'a>,
+        reader: &'a mut Reader<'t>,
+        shared: &'a mut MutexGuard<'g, Shared>,
+        keep: Option<&'a mut Vec<CheckedRule>>,
+    ) -> Self {
+        Reading {
+            input,
+            options,
+            reader,
+            shared,
+            keep,
+            schema: request_schema(),
+            rules: Vec::new(),
+            names: HashSet::new(),
+            compiled_bytes: 0,
+            report: ReadReport::default(),
+        }
+    }
+
+    /// Reads the whole file; none: nothing could be made of it.
+    fn read(mut self) -> Option<RuleParts> {
+        let document = Document::split(self.input.text, self.input.part);
+        let skeleton = &document.skeleton;
+        let whole = 0..self.input.text.len();
+        if !self.may_parse(skeleton.text().len(), whole) {
+            return None;
+        }
+        let parsed = self.reader.parse(skeleton);
+        let Some(parsed) = parsed else {
+            self.find_syntax_faults(&document.sections);
+            return None;
+        };
+        let empty = DeTable::new();
+        let table = match self.input.part {
+            None => parsed.get_ref(),
+            Some(part) => match parsed.get_ref().get(part) {
+                Some(value) => Values::new(self.reader, skeleton, u64::MAX).table(value)?,
+                None => &empty,
+            },
+        };
+        let (ceilings, environment, pools) = self.head(skeleton, table);
+        let previous = Previous::new(self.options.previous, &environment);
+        if document.sections.is_empty() {
+            self.inline_rules(skeleton, table, &environment, &previous);
+        } else {
+            self.sections(&document.sections, &environment, &previous);
+        }
+        if !self.reader.clean() {
+            return None;
+        }
+        let cost = self.worst_cost(&ceilings);
+        let Reading { mut rules, report, .. } = self;
+        rules.shrink_to_fit();
+        Some(RuleParts { rules, pools, environment: Arc::new(environment), cost, report })
+    }
+
+    /// Whether so many bytes may be parsed in one piece.
+    fn may_parse(&mut self, length: usize, place: Range<usize>) -> bool {
+        let most = self.options.most_bytes / PARSED_FACTOR;
+        if length > most {
+            let problem = format!("{length} bytes would be parsed in one piece, {most} are the most");
+            let help = "a header [[rule]] by itself for each rule lets them be parsed one by one";
+            self.reader.fault_in_file(place, problem, Some(help.into()));
+        }
+        length <= most
+    }
+
+    /// Reads all but the rules.
+    fn head(&mut self, skeleton: &Excerpt<'_>, table: &DeTable<'_>) -> (Ceilings, Environment, Arc<[Pool]>) {
+        let mut values = Values::new(self.reader, skeleton, u64::MAX);
+        known_parts(&mut values, table);
+        let ceilings = ceilings(&mut values, table);
+        let mut values = Values::new(self.reader, skeleton, ceilings.expression);
+        let declared = effects(&mut values, table);
+        let list = pool::list(&mut values, table);
+        let names = pool::names(&mut values, list);
+        let pools = pool::pools(&mut values, list, &names, &mut self.shared.interner);
+        let catalog = self.input.catalog.clone();
+        let expression_cost = ceilings.expression;
+        let environment = Environment { catalog, declared, pools: names, expression_cost };
+        (ceilings, environment, pools.into())
+    }
+
+    /// Looks for further faults of the TOML where there are some already.
+    fn find_syntax_faults(&mut self, sections: &[Range<usize>]) {
+        for range in sections {
+            if self.may_parse(range.len(), range.clone()) {
+                self.reader.parse(&Excerpt::range(self.input.text, range.clone()));
+            }
+        }
+    }
+
+    /// Reads the rules, each by itself.
+    fn sections(&mut self, sections: &[Range<usize>], environment: &Environment, previous: &Previous<'_>) {
+        self.rules.reserve_exact(sections.len());
+        for range in sections {
+            if !self.within_budget(range.clone()) {
+                return;
+            }
+            let content = section_content(self.input.text.get(range.clone()).unwrap_or(""));
+            match previous.rule(content) {
+                Some(rule) => self.take_over(rule, range.clone(), environment),
+                None => self.section(range.clone(), content, environment, previous),
+            }
+        }
+    }
+
+    /// Takes an unchanged rule over.
+    fn take_over(&mut self, rule: &Arc<Rule>, range: Range<usize>, environment: &Environment) {
+        if !self.names.insert(ContentHash::of(&*rule.name)) {
+            self.refuse_second(range, environment);
+        }
+        self.report.taken_over += 1;
+        self.rules.push(rule.clone());
+    }
+
+    /// Tells where the name of an unchanged rule stands that another one has.
+    fn refuse_second(&mut self, range: Range<usize>, environment: &Environment) {
+        let excerpt = Excerpt::range(self.input.text, range);
+        let Some(parsed) = self.reader.parse(&excerpt) else { return };
+        let mut values = Values::new(self.reader, &excerpt, environment.expression_cost);
+        let Some(fields) = section_fields(&mut values, parsed.get_ref(), self.input.part) else { return };
+        if let Some(name) = names::name(&mut values, fields.table, fields.span) {
+            refuse_second(&mut values, &name);
+        }
+    }
+
+    /// Parses and reads one rule.
+    fn section(
+        &mut self,
+        range: Range<usize>,
+        content: ContentHash,
+        environment: &Environment,
+        previous: &Previous<'_>,
+    ) {
+        if !self.may_parse(range.len(), range.clone()) {
+            return;
+        }
+        let excerpt = Excerpt::range(self.input.text, range);
+        let Some(parsed) = self.reader.parse(&excerpt) else { return };
+        if !self.reader.well_formed() {
+            return;
+        }
+        let mut values = Values::new(self.reader, &excerpt, environment.expression_cost);
+        let Some(fields) = section_fields(&mut values, parsed.get_ref(), self.input.part) else { return };
+        self.rule(&excerpt, &fields, content, environment, previous);
+    }
+
+    /// Reads rules that are no sections of their own.
+    fn inline_rules(
+        &mut self,
+        skeleton: &Excerpt<'_>,
+        table: &DeTable<'_>,
+        environment: &Environment,
+        previous: &Previous<'_>,
+    ) {
+        let Some(list) = table.get(RULES) else { return };
+        let list = Values::new(self.reader, skeleton, environment.expression_cost).array(list);
+        let file = ContentHash::of(self.input.text);
+        for (number, value) in list.iter().enumerate() {
+            if !self.within_budget(skeleton.in_file(&value.span())) {
+                return;
+            }
+            // The text of such a rule is not known by itself: it is unchanged where the whole file is.
+            let content = ContentHash::of(&(file, number));
+            let mut values = Values::new(self.reader, skeleton, environment.expression_cost);
+            let Some(fields) = rule_fields(&mut values, value) else { continue };
+            match previous.rule(content) {
+                Some(rule) => {
+                    self.names.insert(ContentHash::of(&*rule.name));
+                    self.report.taken_over += 1;
+                    self.rules.push(rule.clone());
+                }
+                None => self.rule(skeleton, &fields, content, environment, previous),
+            }
+        }
+    }
+
+    /// Checks a rule and, as long as the file is without fault, compiles it.
+    fn rule(
+        &mut self,
+        excerpt: &Excerpt<'_>,
+        fields: &RuleFields<'_, '_>,
+        content: ContentHash,
+        environment: &Environment,
+        previous: &Previous<'_>,
+    ) {
+        let mut values = Values::new(self.reader, excerpt, environment.expression_cost);
+        let names = &self.names;
+        let is_named = |name: &str| names.contains(&ContentHash::of(name));
+        let (schema, is_named) = (&self.schema, &is_named);
+        let read = RuleReader { values: &mut values, environment, schema, is_named }.read(fields);
+        if let Some(name) = &read.name {
+            self.names.insert(ContentHash::of(&*name.text));
+        }
+        let Some(checked) = read.checked.filter(|_| self.reader.clean()) else { return };
+        let limit = checked.limit.as_ref().map(|spec| {
+            let new = || Arc::new(Limit::new(spec.allowance, spec.keys));
+            let limit = previous.limit(&checked.name, spec).unwrap_or_else(new);
+            Box::new(RuleLimit { spec: spec.clone(), limit })
+        });
+        let rule = Arc::new(self.shared.rule(&checked, content, limit));
+        self.compiled_bytes += rule.heap_bytes();
+        self.report.compiled += 1;
+        self.rules.push(rule);
+        if let Some(keep) = &mut self.keep {
+            keep.push(checked);
+        }
+    }
+
+    /// Whether what was read so far fits into memory; if not, that is told at this place.
+    fn within_budget(&mut self, place: Range<usize>) -> bool {
+        let most = self.options.most_bytes;
+        let (file, held) = (self.input.text.len(), self.options.previous.map_or(0, Rules::heap_bytes));
+        let fits = file + held + self.compiled_bytes <= most;
+        if !fits {
+            let problem = format!(
+                "the rules up to here take more memory than there is: {} bytes beside {held} of the rules in force and {file} of the file, {most} are the most",
+                self.compiled_bytes
+            );
+            let help = "fewer rules, fewer keys of limits, or a change in several steps";
+            self.reader.fault_in_file(place, problem, Some(help.into()));
+        }
+        fits
+    }
+
+    /// The most that one request may spend, which must stay below the ceiling.
+    fn worst_cost(&mut self, ceilings: &Ceilings) -> u64 {
+        let cost = worst_request(&self.rules);
+        if cost > ceilings.request {
+            let costliest = self.rules.iter().max_by_key(|rule| rule.cost);
+            let costliest = costliest.map_or("", |rule| &rule.name);
+            let problem = format!(
+                "all rules together may cost {cost} units a request, {} are the most",
+                ceilings.request
+            );
+            self.reader.fault_in_file(0..1, problem, Some(format!("rule {costliest:?} costs most")));
+        }
+        cost
+    }
+}
+
+/// The hash of a rule's text. Empty lines behind a rule do not change it.
+fn section_content(text: &str) -> ContentHash {
+    let trimmed = text.trim_end_matches('\n');
+    // A carriage return that stands alone would be wrong where one before a newline is not.
+    ContentHash::of(if trimmed.ends_with('\r') { text } else { trimmed })
+}
+
+/// The fields of the only rule of a section.
+fn section_fields<'v, 'd>(
+    values: &mut Values<'_, '_>,
+    parsed: &'v DeTable<'d>,
+    part: Option<&str>,
+) -> Option<RuleFields<'v, 'd>> {
+    let table = match part {
+        None => parsed,
+        Some(part) => values.table(parsed.get(part)?)?,
+    };
+    let rules = values.array(table.get(RULES)?);
+    rule_fields(values, rules.first()?)
+}
+
+fn rule_fields<'v, 'd>(values: &mut Values<'_, '_>, value: &'v Value<'d>) -> Option<RuleFields<'v, 'd>> {
+    Some(RuleFields { table: values.table(value)?, span: value.span() })
+}
--- a/crates/routes/src/file.rs
+++ b/crates/routes/src/reader.rs
@@ -1,74 +1,113 @@
-//! Reading a file of rules: TOML with the place of every value, so that each fault names its line. It owns the
-//! gathering of faults: reading goes on behind one, so that a file's faults are told together. It must never
-//! judge a rule.
+//! Reading the values of a file of rules: TOML with the place of every value, so that each fault names its line.
+//! It gathers the faults: reading goes on behind one, so that a file's faults are told together. It judges no
+//! rule.
 
+use crate::document::Excerpt;
+use crate::expressions::Checked;
+use crate::fault::Fault;
 use driftgap_expr::{Error, Expression, Facts, Origin, Schema, Type};
-use std::ops::Range;
+use std::cell::OnceCell;
+use std::ops::{Range, RangeInclusive};
 use toml::de::{DeTable, DeValue};
 use toml::Spanned;
 
 /// Most faults that are told of one file.
 const MOST_FAULTS: usize = 100;
+/// Longest part of an unknown key that is told, in characters.
+const MOST_KEY_SHOWN: usize = 40;
 
-/// A fault in a file of rules.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{line}")]
-pub struct Fault {
-    /// As one line: file, line, column, what is wrong, how to mend it.
-    pub line: String,
-    /// The same with the line of the file and a caret under what is meant.
-    pub shown: String,
-}
+/// A value of the file with its place in the excerpt that it was parsed from.
+pub(crate) type Value<'d> = Spanned<DeValue<'d>>;
 
 /// A text of the file and where it is.
 #[derive(Clone, Debug)]
 pub(crate) struct Text {
     pub(crate) text: String,
+    /// Its place in the excerpt.
     pub(crate) span: Range<usize>,
-    origin: Origin,
+    /// Where its first character is in the file.
+    start: usize,
+}
+
+/// A fault of the TOML itself.
+struct SyntaxFault {
+    span: Range<usize>,
+    problem: String,
 }
 
+/// Reads one file.
 pub(crate) struct Reader<'t> {
     text: &'t str,
     file: &'t str,
     faults: Vec<Fault>,
-    /// Where each line begins.
-    lines: Vec<usize>,
-    /// Most cost of one expression.
-    pub(crate) most_cost: u64,
+    syntax: Vec<SyntaxFault>,
+    /// Where each line begins; found at the first fault.
+    lines: OnceCell<Vec<usize>>,
 }
 
-pub(crate) type Table<'t> = Spanned<DeTable<'t>>;
-pub(crate) type Value<'t> = Spanned<DeValue<'t>>;
-
 impl<'t> Reader<'t> {
     pub(crate) fn new(text: &'t str, file: &'t str) -> Reader<'t> {
-        let lines = std::iter::once(0).chain(text.match_indices('\n').map(|(at, _)| at + 1)).collect();
-        Reader { text, file, faults: Vec::new(), lines, most_cost: u64::MAX }
+        Reader { text, file, faults: Vec::new(), syntax: Vec::new(), lines: OnceCell::new() }
     }
 
-    pub(crate) fn faults(self) -> Vec<Fault> {
+    /// The faults found: those of the TOML alone, if there are any, for nothing behind them is certain.
+    pub(crate) fn into_faults(mut self) -> Vec<Fault> {
+        if self.syntax.is_empty() {
+            return self.faults;
+        }
+        self.faults.clear();
+        let mut syntax = std::mem::take(&mut self.syntax);
+        syntax.sort_by_key(|fault| fault.span.start);
+        for fault in syntax {
+            self.fault_in_file(fault.span, fault.problem, None);
+        }
         self.faults
     }
 
+    /// Whether there is no fault so far.
     pub(crate) fn clean(&self) -> bool {
-        self.faults.is_empty()
+        self.faults.is_empty() && self.syntax.is_empty()
+    }
+
+    /// Whether the TOML is without fault so far.
+    pub(crate) fn well_formed(&self) -> bool {
+        self.syntax.is_empty()
+    }
+
+    /// An excerpt as a table; none: it is no TOML, which is noted.
+    pub(crate) fn parse<'d>(&mut self, excerpt: &'d Excerpt<'_>) -> Option<Spanned<DeTable<'d>>> {
+        let (table, errors) = DeTable::parse_recoverable(excerpt.text());
+        for error in &errors {
+            if self.syntax.len() < MOST_FAULTS {
+                let span = excerpt.in_file(&error.span().unwrap_or(0..1));
+                self.syntax.push(SyntaxFault { span, problem: error.message().replace('\n', " ") });
+            }
+        }
+        errors.is_empty().then_some(table)
     }
 
     fn origin(&self, at: usize) -> Origin {
-        let line = self.lines.partition_point(|start| *start <= at).max(1);
-        let before = self.text.get(self.lines[line - 1]..at).unwrap_or("");
+        let newlines = || self.text.match_indices('\n').map(|(at, _)| at + 1);
+        let lines = self.lines.get_or_init(|| std::iter::once(0).chain(newlines()).collect());
+        let line = lines.partition_point(|start| *start <= at).max(1);
+        let before = self.text.get(lines[line - 1]..at).unwrap_or("");
         Origin { line, column: before.chars().count() + 1 }
     }
 
     /// Notes a fault at a place of the file.
-    pub(crate) fn fault(&mut self, span: Range<usize>, problem: impl Into<String>, help: Option<String>) {
+    pub(crate) fn fault_in_file(
+        &mut self,
+        span: Range<usize>,
+        problem: impl Into<String>,
+        help: Option<String>,
+    ) {
         if self.faults.len() >= MOST_FAULTS {
             return;
         }
         // Only the first line is shown: a span may be a whole table.
+        let before = self.text.get(..span.start).unwrap_or("");
+        let start = before.rfind('\n').map_or(0, |at| at + 1);
         let line = self.origin(span.start).line;
-        let start = self.lines[line - 1];
         let text = self.text.get(start..).and_then(|rest| rest.lines().next()).unwrap_or("");
         let within = |at: usize| at.saturating_sub(start).min(text.len());
         let error = Error::at(within(span.start)..within(span.end), problem, help).located(text);
@@ -77,28 +116,44 @@
     }
 
     /// Notes a fault of an expression.
-    pub(crate) fn wrong(&mut self, text: &Text, error: &Error) {
-        self.note(error.line(self.file, text.origin), error.render(self.file, text.origin));
+    pub(crate) fn expression_fault(&mut self, text: &Text, error: &Error) {
+        if self.faults.len() >= MOST_FAULTS {
+            return;
+        }
+        let origin = self.origin(text.start);
+        self.note(error.line(self.file, origin), error.render(self.file, origin));
     }
 
     fn note(&mut self, line: String, shown: String) {
-        if self.faults.len() < MOST_FAULTS {
-            self.faults.push(Fault { line, shown });
-        }
+        self.faults.push(Fault { line, shown });
     }
+}
 
-    /// The whole file as a table.
-    pub(crate) fn parse(&mut self) -> Option<Table<'t>> {
-        let (table, errors) = DeTable::parse_recoverable(self.text);
-        for error in &errors {
-            let span = error.span().unwrap_or(0..1);
-            self.fault(span, error.message().replace('\n', " "), None);
-        }
-        errors.is_empty().then_some(table)
+/// Reads the values of one excerpt.
+pub(crate) struct Values<'r, 't> {
+    pub(crate) reader: &'r mut Reader<'t>,
+    excerpt: &'r Excerpt<'r>,
+    /// Most cost of one expression.
+    most_cost: u64,
+}
+
+impl<'r, 't> Values<'r, 't> {
+    pub(crate) fn new(reader: &'r mut Reader<'t>, excerpt: &'r Excerpt<'r>, most_cost: u64) -> Self {
+        Values { reader, excerpt, most_cost }
+    }
+
+    /// Notes a fault at a place of the excerpt.
+    pub(crate) fn fault(&mut self, span: Range<usize>, problem: impl Into<String>, help: Option<String>) {
+        self.reader.fault_in_file(self.excerpt.in_file(&span), problem, help);
+    }
+
+    /// Notes a fault of an expression.
+    pub(crate) fn expression_fault(&mut self, text: &Text, error: &Error) {
+        self.reader.expression_fault(text, error);
     }
 
     /// Notes every key that is none of these.
-    pub(crate) fn known(&mut self, table: &DeTable<'t>, keys: &[&str]) {
+    pub(crate) fn known_keys(&mut self, table: &DeTable<'_>, keys: &[&str]) {
         for key in table.keys() {
             let name: &str = key.get_ref();
             if !keys.contains(&name) {
@@ -108,13 +163,13 @@
                     Some(near) => format!("did you mean `{near}`?"),
                     None => format!("known are {}", keys.join(", ")),
                 };
-                let short: String = name.chars().take(40).collect();
+                let short: String = name.chars().take(MOST_KEY_SHOWN).collect();
                 self.fault(key.span(), format!("`{short}` is not known here"), Some(help));
             }
         }
     }
 
-    pub(crate) fn table<'v>(&mut self, value: &'v Value<'t>) -> Option<&'v DeTable<'t>> {
+    pub(crate) fn table<'v, 'd>(&mut self, value: &'v Value<'d>) -> Option<&'v DeTable<'d>> {
         match value.get_ref() {
             DeValue::Table(table) => Some(table),
             other => {
@@ -124,7 +179,7 @@
         }
     }
 
-    pub(crate) fn array<'v>(&mut self, value: &'v Value<'t>) -> &'v [Value<'t>] {
+    pub(crate) fn array<'v, 'd>(&mut self, value: &'v Value<'d>) -> &'v [Value<'d>] {
         match value.get_ref() {
             DeValue::Array(array) => array,
             other => {
@@ -134,17 +189,17 @@
         }
     }
 
-    pub(crate) fn string(&mut self, value: &Value<'t>) -> Option<Text> {
+    pub(crate) fn string(&mut self, value: &Value<'_>) -> Option<Text> {
         match value.get_ref() {
             DeValue::String(text) => {
                 let span = value.span();
-                let raw = self.text.get(span.clone()).unwrap_or("");
+                let raw = self.excerpt.text().get(span.clone()).unwrap_or("");
                 let quotes = if raw.starts_with("'''") || raw.starts_with("\"\"\"") { 3 } else { 1 };
                 // The first line break behind three quotes is none of the text's.
                 let rest = raw.get(quotes..).unwrap_or("");
                 let skip = quotes + if quotes == 3 { usize::from(rest.starts_with('\n')) } else { 0 };
-                let origin = self.origin(span.start + skip);
-                Some(Text { text: text.to_string(), span, origin })
+                let start = self.excerpt.in_file(&span).start + skip;
+                Some(Text { text: text.to_string(), span, start })
             }
             other => {
                 self.type_fault(value.span(), other, "a text");
@@ -153,7 +208,7 @@
         }
     }
 
-    pub(crate) fn number(&mut self, value: &Value<'t>, range: std::ops::RangeInclusive<f64>) -> Option<f64> {
+    pub(crate) fn number(&mut self, value: &Value<'_>, range: RangeInclusive<f64>) -> Option<f64> {
         let number = match value.get_ref() {
             DeValue::Integer(number) => {
                 i64::from_str_radix(number.as_str(), number.radix()).ok().map(|n| n as f64)
@@ -183,11 +238,11 @@
         schema: &Schema,
         facts: &Facts,
         want: &Type,
-    ) -> Option<Expression> {
+    ) -> Option<Checked> {
         match Expression::within(&text.text, schema, facts, want, self.most_cost) {
-            Ok(expression) => Some(expression),
+            Ok(expression) => Some(expression.into()),
             Err(e) => {
-                self.wrong(text, &e);
+                self.expression_fault(text, &e);
                 None
             }
         }
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -1,12 +1,15 @@
-//! Where a request belongs: its way through the rules, the choice of its pool, the limits that it must pass. It
-//! owns the rules in force, the limits' states and which pools have ready instances. It must never do any I/O,
-//! read a clock, or choose an instance: that is the decision module's, among those of the pool.
+//! Where a request belongs: its way through the rules, the choice of its pool, the limits that it must pass. The
+//! router holds the rules in force and which pools have ready instances. It does no I/O, reads no clock, and
+//! chooses no instance: that is the decision module's, among those of the pool.
 
+use crate::expressions::Compiled;
 use crate::limit::{Limit, Ticket};
+use crate::pool::{Fallback, ANY, MOST_AWAY, MOST_POOLS};
 use crate::request::{cut, Instance, Request, View};
-use crate::rules::{Fallback, LimitSpec, Mapping, Pool, Rule, Rules, ANY, MOST_AWAY, MOST_POOLS};
-use driftgap_expr::{Chosen, Expression, Fault, Scratch, Step, Value};
-use std::rc::Rc;
+use crate::rule::{Part, PartName, Rule, Shared};
+use crate::rules::{RuleSet, Rules};
+use driftgap_expr::{Chosen, Fault, Scratch, Value};
+use std::sync::{Arc, Mutex};
 
 /// The bit that stands for all instances: every instance has it.
 pub const ALL: u64 = 1 << 63;
@@ -79,25 +82,10 @@
     pub terms: Vec<(String, String)>,
 }
 
-/// A rule's part in the explanation of a request's way.
-#[derive(Clone, Debug)]
-pub struct Explained {
-    /// The rule.
-    pub rule: String,
-    /// Whether it matched.
-    pub matched: bool,
-    /// The index had ruled it out: its test was not looked at.
-    pub ruled_out: bool,
-    /// An earlier rule had ended the way.
-    pub behind: bool,
-    /// Its test, and the expressions of what it does where it matched, with each part's value.
-    pub parts: Vec<(String, Vec<Step>)>,
-}
-
 /// A pool of rules that are in force no more, for the commands that began under them.
 struct Retired {
     bit: u8,
-    when: Expression,
+    when: Compiled,
     until: f64,
 }
 
@@ -106,13 +94,38 @@
 #[error("the pools of earlier rules still serve commands under way, and with these there would be more than {MOST_POOLS}; read the rules again once they have ended")]
 pub struct TooSoon;
 
+/// What rules leave behind that are in force no more. Dropping it frees whatever the new rules do not share,
+/// which takes as long as there is much of it: do it on another thread than the serving one.
+#[must_use = "dropping old rules takes time: hand them to another thread"]
+pub struct Replaced {
+    rules: Option<Rules>,
+    retired: Vec<Retired>,
+    shared: Arc<Mutex<Shared>>,
+}
+
+impl std::fmt::Debug for Replaced {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Replaced").field("rules", &self.rules).finish_non_exhaustive()
+    }
+}
+
+impl Drop for Replaced {
+    fn drop(&mut self) {
+        self.rules = None;
+        self.retired.clear();
+        // Where rules are being read just now, that reading sweeps.
+        if let Ok(mut shared) = self.shared.try_lock() {
+            shared.sweep();
+        }
+    }
+}
+
 /// Rules in force.
 pub struct Router {
     rules: Rules,
     /// The bit of each pool.
     bits: Vec<u8>,
     retired: Vec<Retired>,
-    limits: Vec<Option<Rc<Limit>>>,
     ready: Vec<usize>,
     scratch: Scratch,
     chosen: Chosen,
@@ -122,48 +135,58 @@
 impl Router {
     /// Puts rules in force.
     pub fn new(rules: Rules) -> Router {
-        let limits = rules.limits(|_| None);
-        let (bits, ready) = ((0..rules.pools.len() as u8).collect(), vec![0; rules.pools.len()]);
+        let pools = rules.set.pools.len();
+        let (bits, ready) = ((0..pools as u8).collect(), vec![0; pools]);
         let (scratch, chosen) = (Scratch::default(), Chosen::default());
-        Router { rules, bits, retired: Vec::new(), limits, ready, scratch, chosen, faults: 0 }
+        Router { rules, bits, retired: Vec::new(), ready, scratch, chosen, faults: 0 }
     }
 
-    /// Puts other rules in force at `now`, ms. Limits that both have keep their states; pools that both have keep
-    /// their bits, and those that are gone keep them for `longest_ms`, until the last command that began under
-    /// the old rules has ended. Instances must be told their pools anew.
+    /// Puts other rules in force at `now`, ms, in a time that depends on the pools alone. Limits that both have
+    /// keep their states where the new rules were read with these as [`ReadOptions::previous`]. Pools that both
+    /// have keep their bits, and those that are gone keep them for `longest_ms`, until the last command that
+    /// began under the old rules has ended. Instances must be told their pools anew.
+    ///
+    /// [`ReadOptions::previous`]: crate::ReadOptions::previous
     ///
     /// # Errors
-    /// There are too many pools together with those that are still needed; the old rules stay.
-    pub fn replace(&mut self, rules: Rules, now: f64, longest_ms: f64) -> Result<(), TooSoon> {
-        self.retired.retain(|retired| retired.until > now);
-        let same = |a: &Pool, b: &Pool| a.name == b.name && a.when.text() == b.when.text();
-        let old = self.rules.pools.iter().zip(&self.bits);
-        let kept = |pool: &Pool| old.clone().find(|(known, _)| same(known, pool)).map(|(_, bit)| *bit);
-        let mut taken =
-            self.retired.iter().map(|r| r.bit).chain(self.bits.iter().copied()).fold(0, |t, b| t | 1u64 << b);
-        let mut bits = Vec::with_capacity(rules.pools.len());
-        for pool in &rules.pools {
-            let bit = kept(pool).unwrap_or_else(|| taken.trailing_ones() as u8);
+    /// There are too many pools together with those that are still needed; the old rules stay. Whoever does not
+    /// want the new ones dropped here holds a clone of them.
+    pub fn replace(&mut self, rules: Rules, now: f64, longest_ms: f64) -> Result<Replaced, TooSoon> {
+        let needed = |retired: &Retired| retired.until > now;
+        let bits = self.bits_for(&rules.set, self.retired.iter().filter(|retired| needed(retired)))?;
+        self.ready = vec![0; bits.len()];
+        let old = std::mem::replace(&mut self.rules, rules);
+        let old_bits = std::mem::replace(&mut self.bits, bits);
+        let (mut retired, expired): (Vec<Retired>, Vec<Retired>) =
+            std::mem::take(&mut self.retired).into_iter().partition(needed);
+        let until = now + longest_ms;
+        let gone = old.set.pools.iter().zip(old_bits).filter(|(_, bit)| !self.bits.contains(bit));
+        retired.extend(gone.map(|(pool, bit)| Retired { bit, when: pool.when.clone(), until }));
+        self.retired = retired;
+        let shared = old.set.shared.clone();
+        Ok(Replaced { rules: Some(old), retired: expired, shared })
+    }
+
+    /// The bits of other rules' pools: those of the same pools now, and free ones for the others.
+    fn bits_for<'r>(
+        &self,
+        set: &RuleSet,
+        retired: impl Iterator<Item = &'r Retired>,
+    ) -> Result<Vec<u8>, TooSoon> {
+        let old = || self.rules.set.pools.iter().zip(self.bits.iter().copied());
+        let used = self.bits.iter().copied().chain(retired.map(|retired| retired.bit));
+        let mut taken = used.fold(0u64, |taken, bit| taken | 1 << bit);
+        let mut bits = Vec::with_capacity(set.pools.len());
+        for pool in set.pools.iter() {
+            let kept = old().find(|(known, _)| known.is_same(pool)).map(|(_, bit)| bit);
+            let bit = kept.unwrap_or_else(|| taken.trailing_ones() as u8);
             if usize::from(bit) >= MOST_POOLS {
                 return Err(TooSoon);
             }
             taken |= 1 << bit;
             bits.push(bit);
         }
-        self.limits = rules.limits(|spec| self.limit(spec));
-        self.ready = vec![0; rules.pools.len()];
-        let old = std::mem::replace(&mut self.rules, rules);
-        let gone = old.pools.into_iter().zip(std::mem::replace(&mut self.bits, bits));
-        let until = now + longest_ms;
-        let gone = gone.filter(|(_, bit)| !self.bits.contains(bit));
-        self.retired.extend(gone.map(|(pool, bit)| Retired { bit, when: pool.when, until }));
-        Ok(())
-    }
-
-    fn limit(&self, spec: &LimitSpec) -> Option<Rc<Limit>> {
-        let specs = self.rules.rules.iter().map(|rule| rule.limit.as_ref().map(|(_, spec)| spec));
-        let mut with = specs.zip(&self.limits);
-        with.find(|(held, _)| *held == Some(spec)).and_then(|(_, limit)| limit.clone())
+        Ok(bits)
     }
 
     /// The rules.
@@ -178,13 +201,14 @@
 
     /// Bytes that all limits take, roughly.
     pub fn memory(&self) -> usize {
-        self.limits.iter().flatten().map(|limit| limit.memory()).sum()
+        let limits = self.rules.set.rules.iter().filter_map(|rule| rule.limit.as_deref());
+        limits.map(|limit| limit.limit.memory()).sum()
     }
 
     /// The pools of an instance, one bit each.
     pub fn pools_of(&mut self, instance: &Instance<'_>) -> u64 {
         let mut pools = ALL;
-        let now = self.rules.pools.iter().map(|pool| &pool.when).zip(self.bits.iter().copied());
+        let now = self.rules.set.pools.iter().map(|pool| &pool.when).zip(self.bits.iter().copied());
         let before = self.retired.iter().map(|retired| (&retired.when, retired.bit));
         for (when, bit) in now.chain(before) {
             // A test that fails on an instance leaves it out.
@@ -207,23 +231,24 @@
 
     /// Ready instances by pool.
     pub fn figures(&self) -> impl Iterator<Item = (&str, usize)> {
-        self.rules.pools.iter().map(|pool| pool.name.as_str()).zip(self.ready.iter().copied())
+        self.rules.set.pools.iter().map(|pool| pool.name.as_str()).zip(self.ready.iter().copied())
     }
 
     /// A request's way at `now`, ms.
     pub fn route(&mut self, request: &Request<'_>, now: f64) -> Verdict {
-        let Router { rules, bits, limits, ready, scratch, chosen, faults, .. } = self;
+        let Router { rules, bits, ready, scratch, chosen, faults, .. } = self;
+        let set = &*rules.set;
         if let Some(part) = request.too_long() {
             return Verdict::Bad { rule: String::new(), why: format!("the {part} is too long") };
         }
         let view = View::new(request);
-        rules.selector.choose(&view, chosen);
+        set.selector.choose(&view, chosen);
         let mut way = Way { route: Route::default(), pool: None, asked: Vec::new(), now };
         for number in chosen.iter() {
-            let Some(rule) = rules.rules.get(number) else { break };
+            let Some(rule) = set.rules.get(number) else { break };
             let matched = rule.when.test(&view, scratch);
             let done = match matched {
-                Ok(true) => way.apply(rule, limits[number].as_ref(), &view, scratch, &rules.classes),
+                Ok(true) => way.apply(rule, &view, scratch, set),
                 Ok(false) => Ok(()),
                 Err(fault) => Err(End::Fault(fault)),
             };
@@ -236,22 +261,22 @@
             match done {
                 Ok(()) if matched == Ok(true) && !rule.goes_on => break,
                 Ok(()) => {}
-                Err(End::Nack(after_ms)) => return Verdict::Nack { after_ms, by: rule.name.clone() },
+                Err(End::Nack(after_ms)) => return Verdict::Nack { after_ms, by: rule.name.to_string() },
                 Err(End::Bad(why)) => {
                     *faults += 1;
-                    return Verdict::Bad { rule: rule.name.clone(), why };
+                    return Verdict::Bad { rule: rule.name.to_string(), why };
                 }
                 Err(End::Fault(fault)) => {
                     *faults += 1;
-                    return Verdict::Bad { rule: rule.name.clone(), why: fault.to_string() };
+                    return Verdict::Bad { rule: rule.name.to_string(), why: fault.to_string() };
                 }
             }
         }
         if let Some(pool) = way.pool {
-            match settle(rules, bits, ready, pool) {
+            match settle(set, bits, ready, pool) {
                 Ok(pools) => way.route.pools = pools,
                 Err(refused) => {
-                    let pool = &rules.pools[refused];
+                    let pool = &set.pools[refused];
                     return Verdict::Nack { after_ms: pool.after_ms, by: pool.name.clone() };
                 }
             }
@@ -262,45 +287,17 @@
         }
         Verdict::Go(Box::new(way.route))
     }
-
-    /// A request's way rule by rule; changes nothing.
-    pub fn explain(&mut self, request: &Request<'_>) -> Vec<Explained> {
-        let view = View::new(request);
-        self.rules.selector.choose(&view, &mut self.chosen);
-        let chosen: Vec<usize> = self.chosen.iter().collect();
-        let mut behind = false;
-        let mut all = Vec::with_capacity(self.rules.rules.len());
-        for (number, rule) in self.rules.rules.iter().enumerate() {
-            let ruled_out = !chosen.contains(&number);
-            let matched = rule.when.test(&view, &mut self.scratch) == Ok(true);
-            let mut parts = vec![("when".to_string(), rule.when.explain(&view))];
-            if matched && !behind {
-                parts.extend(rule_parts(rule).map(|(name, part)| (name.to_string(), part.explain(&view))));
-            }
-            all.push(Explained { rule: rule.name.clone(), matched, ruled_out, behind, parts });
-            behind |= matched && !rule.goes_on;
-        }
-        all
-    }
-}
-
-fn rule_parts(rule: &Rule) -> impl Iterator<Item = (&str, &Expression)> {
-    let mapping = rule.mapping.iter().flat_map(Mapping::parts);
-    let pool = rule.pool.iter().map(|pool| ("pool", pool));
-    let limit = rule.limit.iter().map(|(key, _)| ("limit.key", key));
-    let notes = rule.notes.iter().map(|(name, note)| (name.as_str(), note));
-    mapping.chain(pool).chain(limit).chain(notes).chain(rule.nack.iter().map(|nack| ("nack", nack)))
 }
 
 /// Where a pool's requests go now, or the pool that refuses them.
-fn settle(rules: &Rules, bits: &[u8], ready: &[usize], mut pool: Option<usize>) -> Result<u64, usize> {
+fn settle(set: &RuleSet, bits: &[u8], ready: &[usize], mut pool: Option<usize>) -> Result<u64, usize> {
     // As many steps as pools: a file with a ring was refused.
-    for _ in 0..=rules.pools.len() {
+    for _ in 0..=set.pools.len() {
         let Some(at) = pool else { return Ok(ALL) };
         if ready[at] > 0 {
             return Ok(1 << bits[at]);
         }
-        pool = match rules.pools[at].fallback {
+        pool = match set.pools[at].fallback {
             Fallback::Refuse => return Err(at),
             Fallback::Pool(next) => Some(next),
             Fallback::Any => None,
@@ -328,7 +325,7 @@
     /// The pool that was chosen first; within it, none stands for all instances.
     pool: Option<Option<usize>>,
     /// Limits that have agreed, and the keys.
-    asked: Vec<(Rc<Limit>, u64)>,
+    asked: Vec<(Arc<Limit>, u64)>,
     now: f64,
 }
 
@@ -337,53 +334,97 @@
     fn apply(
         &mut self,
         rule: &Rule,
-        limit: Option<&Rc<Limit>>,
         view: &View<'_>,
         scratch: &mut Scratch,
-        classes: &[String],
+        set: &RuleSet,
     ) -> Result<(), End> {
-        if let Some(nack) = &rule.nack {
-            let ms = match nack.eval(view, scratch)? {
-                Some(Value::Duration(ms)) => ms as f64,
-                _ => return Err(End::Fault(Fault::Input)),
-            };
-            return Err(End::Nack(ms.clamp(0.0, MOST_AWAY)));
-        }
-        if let Some(pool) = rule.pool.as_ref().filter(|_| self.pool.is_none()) {
-            let name = text(pool, view, scratch)?;
-            self.pool = Some(match name {
-                ANY => None,
-                name => Some(rule_pool(rule, name).ok_or(Fault::Input)?),
-            });
-        }
-        for (name, note) in &rule.notes {
-            let value = cut(text(note, view, scratch)?, MOST_NOTE);
-            // What no header can carry is not passed on.
-            let value: String = value.chars().map(|c| if matches!(c, ' '..='~') { c } else { '?' }).collect();
-            if !self.route.notes.iter().any(|(known, _)| known == name) {
-                self.route.notes.push((name.clone(), value));
+        let commanded = self.route.command.is_some();
+        for part in &rule.body.parts {
+            match &part.name {
+                PartName::Nack => return Err(nack(&part.expression, view, scratch)),
+                PartName::Pool if self.pool.is_none() => {
+                    self.pool = Some(pool(&part.expression, view, scratch, set)?);
+                }
+                PartName::Pool => {}
+                PartName::Note(name) => self.note(name, &part.expression, view, scratch)?,
+                PartName::LimitKey => self.ask(rule, &part.expression, view, scratch)?,
+                PartName::Class if !commanded => {
+                    let class = class(&part.expression, view, scratch, set)?;
+                    self.route.command = Some(Mapped { class, ..Mapped::default() });
+                }
+                _ if commanded => {}
+                _ => {
+                    if let Some(command) = &mut self.route.command {
+                        map(command, part, view, scratch)?;
+                    }
+                }
             }
         }
-        if let Some(mapping) = rule.mapping.as_ref().filter(|_| self.route.command.is_none()) {
-            self.route.command = Some(mapped(mapping, view, scratch, classes)?);
-        }
-        if let (Some((key, _)), Some(limit)) = (&rule.limit, limit) {
-            let key = text(key, view, scratch)?;
-            match limit.ask(key, self.now) {
-                Ok(hash) => self.asked.push((limit.clone(), hash)),
-                Err(wait) => return Err(End::Nack(wait)),
-            }
+        Ok(())
+    }
+
+    fn note(
+        &mut self,
+        name: &Arc<str>,
+        note: &Compiled,
+        view: &View<'_>,
+        scratch: &mut Scratch,
+    ) -> Result<(), End> {
+        let value = cut(text(note, view, scratch)?, MOST_NOTE);
+        // What no header can carry is not passed on.
+        let value: String = value.chars().map(|c| if matches!(c, ' '..='~') { c } else { '?' }).collect();
+        if !self.route.notes.iter().any(|(known, _)| **known == **name) {
+            self.route.notes.push((name.to_string(), value));
         }
         Ok(())
     }
+
+    fn ask(
+        &mut self,
+        rule: &Rule,
+        key: &Compiled,
+        view: &View<'_>,
+        scratch: &mut Scratch,
+    ) -> Result<(), End> {
+        let Some(held) = rule.limit.as_deref() else { return Ok(()) };
+        let key = text(key, view, scratch)?;
+        let hash = held.limit.ask(key, self.now).map_err(End::Nack)?;
+        self.asked.push((held.limit.clone(), hash));
+        Ok(())
+    }
 }
 
-fn rule_pool(rule: &Rule, name: &str) -> Option<usize> {
-    rule.pools.iter().find(|(known, _)| known == name).map(|(_, number)| *number)
+/// A refusal by a rule; or why there is none.
+fn nack(nack: &Compiled, view: &View<'_>, scratch: &mut Scratch) -> End {
+    match nack.eval(view, scratch) {
+        Ok(Some(Value::Duration(ms))) => End::Nack((ms as f64).clamp(0.0, MOST_AWAY)),
+        Ok(_) => End::Fault(Fault::Input),
+        Err(fault) => End::Fault(fault),
+    }
+}
+
+/// The pool that a rule names; none: all instances.
+fn pool(
+    pool: &Compiled,
+    view: &View<'_>,
+    scratch: &mut Scratch,
+    set: &RuleSet,
+) -> Result<Option<usize>, Fault> {
+    match text(pool, view, scratch)? {
+        ANY => Ok(None),
+        name => set.pools.iter().position(|pool| pool.name == name).map(Some).ok_or(Fault::Input),
+    }
+}
+
+/// The number of the class that a rule names.
+fn class(class: &Compiled, view: &View<'_>, scratch: &mut Scratch, set: &RuleSet) -> Result<usize, Fault> {
+    let class = text(class, view, scratch)?;
+    let classes = &set.environment.catalog.classes;
+    classes.iter().position(|(known, _)| known == class).ok_or(Fault::Input)
 }
 
 fn text<'b>(
-    expression: &'b Expression,
+    expression: &'b Compiled,
     view: &'b View<'_>,
     scratch: &'b mut Scratch,
 ) -> Result<&'b str, Fault> {
@@ -393,41 +434,41 @@
     }
 }
 
-fn mapped(
-    mapping: &Mapping,
-    view: &View<'_>,
-    scratch: &mut Scratch,
-    classes: &[String],
-) -> Result<Mapped, End> {
-    let class = text(&mapping.class, view, scratch)?;
-    let class = classes.iter().position(|known| known == class).ok_or(Fault::Input)?;
-    let mut said = |part: &Option<Expression>| -> Result<Option<String>, Fault> {
-        part.as_ref().map(|part| text(part, view, scratch).map(str::to_string)).transpose()
-    };
-    let (plan, partner, id) = (said(&mapping.plan)?, said(&mapping.partner)?, said(&mapping.id)?);
-    let units = match mapping.units.as_ref().map(|units| units.eval(view, scratch)).transpose()? {
-        Some(Some(Value::Double(units))) => Some(units),
-        None => None,
-        _ => return Err(End::Fault(Fault::Input)),
-    };
-    let mut number = |part: &Option<Expression>| -> Result<Option<i64>, Fault> {
-        match part.as_ref().map(|part| part.eval(view, scratch)).transpose()? {
-            Some(Some(Value::Int(number) | Value::Duration(number))) => Ok(Some(number)),
-            None => Ok(None),
-            _ => Err(Fault::Input),
-        }
-    };
-    let (deadline_ms, spread, first) =
-        (number(&mapping.deadline)?, number(&mapping.spread)?, number(&mapping.first)?);
-    let mut terms = Vec::with_capacity(mapping.terms.len());
-    for (name, part) in &mapping.terms {
-        let value = text(part, view, scratch)?;
-        // Guards the platform's wire, on which a comma would begin a further term.
-        let plain = value.len() <= MOST_TERM && value.bytes().all(|b| b.is_ascii_graphic() && b != b',');
-        if !plain {
-            return Err(End::Bad(format!("the term `{name}` cannot be carried")));
+fn number(expression: &Compiled, view: &View<'_>, scratch: &mut Scratch) -> Result<i64, Fault> {
+    match expression.eval(view, scratch)? {
+        Some(Value::Int(number) | Value::Duration(number)) => Ok(number),
+        _ => Err(Fault::Input),
+    }
+}
+
+fn units(expression: &Compiled, view: &View<'_>, scratch: &mut Scratch) -> Result<f64, Fault> {
+    match expression.eval(view, scratch)? {
+        Some(Value::Double(units)) => Ok(units),
+        _ => Err(Fault::Input),
+    }
+}
+
+/// Sets a part of a command.
+fn map(command: &mut Mapped, part: &Part, view: &View<'_>, scratch: &mut Scratch) -> Result<(), End> {
+    let expression = &part.expression;
+    match &part.name {
+        PartName::Plan => command.plan = Some(text(expression, view, scratch)?.to_string()),
+        PartName::Partner => command.partner = Some(text(expression, view, scratch)?.to_string()),
+        PartName::Id => command.id = Some(text(expression, view, scratch)?.to_string()),
+        PartName::Units => command.units = Some(units(expression, view, scratch)?),
+        PartName::Deadline => command.deadline_ms = Some(number(expression, view, scratch)?),
+        PartName::Spread => command.spread = Some(number(expression, view, scratch)?),
+        PartName::First => command.first = Some(number(expression, view, scratch)?),
+        PartName::Term(name) => {
+            let value = text(expression, view, scratch)?;
+            // Guards the platform's wire, on which a comma would begin a further term.
+            let plain = value.len() <= MOST_TERM && value.bytes().all(|b| b.is_ascii_graphic() && b != b',');
+            if !plain {
+                return Err(End::Bad(format!("the term `{name}` cannot be carried")));
+            }
+            command.terms.push((name.to_string(), value.to_string()));
         }
-        terms.push((name.clone(), value.to_string()));
+        PartName::Nack | PartName::Pool | PartName::Note(_) | PartName::Class | PartName::LimitKey => {}
     }
-    Ok(Mapped { class, plan, partner, units, id, deadline_ms, spread, first, terms })
+    Ok(())
 }
--- /dev/null
+++ b/crates/routes/tests/limit.rs
@@ -0,0 +1,72 @@
+//! Local limits by key: how many requests pass, when refused ones may come back, and what is remembered.
+
+use driftgap_routes::{Allowance, Limit, Ticket};
+use std::sync::Arc;
+
+fn passed(limit: &Arc<Limit>, key: &str, now: f64) -> Result<Option<Ticket>, f64> {
+    limit.ask(key, now).map(|hash| limit.take(hash, now))
+}
+
+fn rate(rate: f64, burst: f64, keys: usize) -> Arc<Limit> {
+    Arc::new(Limit::new(Allowance::Rate { rate, burst }, keys))
+}
+
+#[test]
+fn a_rate_lets_a_burst_through_and_tells_the_time_exactly() {
+    let limit = rate(10.0, 5.0, 64);
+    assert_eq!((0..20).filter(|_| passed(&limit, "a", 1000.0).is_ok()).count(), 5);
+    let wait = limit.ask("a", 1000.0).unwrap_err();
+    assert!((wait - 100.0).abs() < 1e-6, "{wait}");
+    assert!(limit.ask("a", 1000.0 + wait - 0.5).is_err());
+    assert!(passed(&limit, "a", 1000.0 + wait).is_ok());
+    // Another key has a store of its own; a pause fills this one, and no fuller than it gets.
+    assert!(passed(&limit, "b", 1000.0).is_ok());
+    assert_eq!((0..20).filter(|_| passed(&limit, "a", 1e6).is_ok()).count(), 5);
+}
+
+#[test]
+fn over_a_long_time_exactly_the_rate_passes() {
+    let limit = rate(7.0, 3.0, 64);
+    let count = (0..60_000).filter(|ms| passed(&limit, "a", f64::from(*ms)).is_ok()).count();
+    assert!((420..=423).contains(&count), "{count}");
+}
+
+#[test]
+fn at_once_counts_what_is_under_way_and_forgets_the_rest() {
+    let limit = Arc::new(Limit::new(Allowance::AtOnce { most: 2, after_ms: 250.0 }, 0));
+    let held: Vec<_> = (0..2).map(|_| passed(&limit, "a", 0.0).unwrap()).collect();
+    assert_eq!(limit.ask("a", 0.0), Err(250.0));
+    assert!(limit.ask("b", 0.0).is_ok());
+    drop(held);
+    assert!(passed(&limit, "a", 0.0).is_ok());
+    assert_eq!(limit.keys(0.0), 0);
+}
+
+#[test]
+fn whatever_keys_arrive_memory_stays_and_all_together_get_what_the_places_allow() {
+    let limit = rate(1.0, 2.0, 1024);
+    let before = limit.memory();
+    let mut let_in = 0;
+    for round in 0..5 {
+        for key in 0..100_000 {
+            let now = f64::from(round) * 1000.0 + f64::from(key) * 0.01;
+            let_in += usize::from(passed(&limit, &format!("k{key}"), now).is_ok());
+        }
+    }
+    assert_eq!(limit.memory(), before);
+    // 1,024 places with a burst of 2 and one a second over 5 s.
+    assert!(let_in <= 1024 * (2 + 5), "{let_in}");
+    assert!(let_in >= 1024 * 4, "{let_in}");
+    assert!(limit.figures().1 > 0 && limit.keys(1e9) == 0);
+}
+
+#[test]
+fn a_key_keeps_its_limit_beside_as_many_as_there_are_places_for() {
+    let limit = rate(1.0, 1.0, 4096);
+    for key in 0..400 {
+        assert!(passed(&limit, &format!("k{key}"), 0.0).is_ok());
+    }
+    for key in 0..400 {
+        assert!(passed(&limit, &format!("k{key}"), 500.0).is_err());
+    }
+}
--- a/crates/routes/tests/rules.rs
+++ b/crates/routes/tests/rules.rs
@@ -1,6 +1,8 @@
 //! Files of rules and the ways of requests through them.
 
-use driftgap_routes::{Catalog, Effect, Headers, Instance, Mapped, Request, Router, Rules, Verdict, ALL};
+use driftgap_routes::{
+    Catalog, Effect, Explainer, Headers, Instance, Mapped, ReadOptions, Request, Router, Rules, Verdict, ALL,
+};
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
@@ -33,6 +35,12 @@
     Rules::read(text, "rules.toml", &catalog()).map_err(|faults| faults.into_iter().map(|f| f.line).collect())
 }
 
+/// Reads a file that replaces the rules of a router.
+fn read_again(text: &str, router: &Router) -> Rules {
+    let options = ReadOptions { previous: Some(router.rules()), ..ReadOptions::default() };
+    Rules::read_part(text, "rules.toml", None, &catalog(), &options).unwrap()
+}
+
 fn router(text: &str) -> Router {
     Router::new(read(text).unwrap())
 }
@@ -376,10 +384,11 @@
     // Another rule beside it: the limit keeps its state. Another rate: it begins anew.
     let more =
         format!("[[rule]]\nname = 'x'\nwhen = 'request.path == \"/x\"'\nnack = 'duration(\"1s\")'\n{text}");
-    first.replace(read(&more).unwrap(), 400.0, 3000.0).unwrap();
+    drop(first.replace(read_again(&more, &first), 400.0, 3000.0).unwrap());
     assert_eq!(pass(&mut first, "a", 400.0), 100.0);
     assert_eq!(pass(&mut first, "a", 500.0), 0.0);
-    first.replace(read(&text.replace("rate = 2", "rate = 4")).unwrap(), 500.0, 3000.0).unwrap();
+    let faster = read_again(&text.replace("rate = 2", "rate = 4"), &first);
+    drop(first.replace(faster, 500.0, 3000.0).unwrap());
     assert_eq!(pass(&mut first, "a", 500.0), 0.0);
 }
 
@@ -426,11 +435,12 @@
     let notes: Vec<String> = route.notes.iter().map(|(name, value)| format!("{name}={value}")).collect();
     assert_eq!(notes, ["x=1", "y=?/stop", "z=3"]);
     assert!(matches!(router.route(&request("GET", "/", &none), 0.0), Verdict::Nack { after_ms: 250.0, .. }));
-    let explained = router.explain(&request("GET", "/stop", &none));
+    let explainer = Explainer::read(text, "rules.toml", None, &catalog()).ok().unwrap();
+    let explained = explainer.explain(&request("GET", "/stop", &none));
     let told: Vec<(&str, bool, bool)> =
         explained.iter().map(|e| (&e.rule[..], e.matched, e.behind)).collect();
     assert_eq!(told, [("a", true, false), ("b", true, false), ("c", true, false), ("d", true, true)]);
-    let put = router.explain(&request("PUT", "/", &none));
+    let put = explainer.explain(&request("PUT", "/", &none));
     assert!(put[2].ruled_out && !put[2].matched && put[2].parts[0].1[0].value == "false");
 }
 
@@ -492,19 +502,19 @@
     let (dar, of_dar) = chosen(&mut router, "dar");
     assert_eq!(dar & of_dar, dar);
     // Another order, and one pool less: the bits stay, those of the one that is gone as long as it may be needed.
-    router.replace(pools(&["mbeya", "dar"]), 1000.0, 3000.0).unwrap();
+    drop(router.replace(pools(&["mbeya", "dar"]), 1000.0, 3000.0).unwrap());
     assert_eq!(router.pools_of(&at("dar")) & dar, dar);
     let tanga = router.pools_of(&at("tanga")) & !ALL;
     let (mbeya, _) = chosen(&mut router, "mbeya");
     assert!(tanga != 0 && mbeya & (dar | tanga) == 0);
-    router.replace(pools(&["mbeya", "dar"]), 4001.0, 3000.0).unwrap();
+    drop(router.replace(pools(&["mbeya", "dar"]), 4001.0, 3000.0).unwrap());
     assert_eq!(router.pools_of(&at("tanga")), ALL);
     // No bit is given anew that commands under way still need.
     let many: Vec<String> = (0..40).map(|i| format!("z{i}")).collect();
     let many: Vec<&str> = many.iter().map(String::as_str).collect();
-    router.replace(pools(&many), 5000.0, 3000.0).unwrap();
+    drop(router.replace(pools(&many), 5000.0, 3000.0).unwrap());
     let other: Vec<String> = (0..40).map(|i| format!("y{i}")).collect();
     let other: Vec<&str> = other.iter().map(String::as_str).collect();
-    assert_eq!(router.replace(pools(&other), 5001.0, 3000.0), Err(driftgap_routes::TooSoon));
+    assert_eq!(router.replace(pools(&other), 5001.0, 3000.0).err(), Some(driftgap_routes::TooSoon));
     assert_eq!(router.pools_of(&at("z7")).count_ones(), 2, "the old rules stay");
 }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -400,6 +400,11 @@
         format!("r{:x}-{:x}", self.started as u64, self.ids.get())
     }
 
+    /// The rules in force.
+    pub fn rules(&self) -> Option<Rules> {
+        self.router.borrow().as_ref().map(|router| router.rules().clone())
+    }
+
     /// Puts rules in force. Commands under way end under those that they began with.
     ///
     /// # Errors
@@ -407,7 +412,7 @@
     pub fn put_rules(&self, rules: Rules) -> Result<(), TooSoon> {
         let longest = self.platform.module.classes.iter().map(|c| 1e3 * c.deadline).fold(0.0, f64::max);
         match &mut *self.router.borrow_mut() {
-            Some(router) => router.replace(rules, self.clock.now(), longest)?,
+            Some(router) => drop(router.replace(rules, self.clock.now(), longest)?),
             none => *none = Some(Router::new(rules)),
         }
         let listed = self.listed.borrow().values().cloned().collect();
--- a/src/node.rs
+++ b/src/node.rs
@@ -150,7 +150,9 @@
     /// Reads the rules again. A file that is wrong anywhere keeps the old ones. The text that is in force now.
     fn read_rules(&self, source: &Source) -> Option<String> {
         let text = source.text();
-        match text.clone().and_then(|text| source.judge(&text, self.hub.platform())) {
+        let previous = self.hub.rules();
+        let judge = |text: String| source.judge(&text, self.hub.platform(), previous.as_ref());
+        match text.clone().and_then(judge) {
             Ok(rules) => {
                 let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
                 match self.hub.put_rules(rules) {
@@ -405,7 +407,7 @@
     let mut rules = None;
     if let Some(source) = Source::of(&operator) {
         let text = source.text();
-        let mut read = text.clone().and_then(|text| source.judge(&text, hub.platform()));
+        let mut read = text.clone().and_then(|text| source.judge(&text, hub.platform(), None));
         let mut text = text.unwrap_or_default();
         if let (Err(faults), Some(group)) = (&read, &group) {
             let Some(held) = unless_stopped(&mut term, group.document(Kind::Rules)).await else {
@@ -413,7 +415,7 @@
             };
             if let Some(held) = held {
                 let good = String::from_utf8_lossy(&held.bytes).to_string();
-                if let Ok(rules) = source.judge(&good, hub.platform()) {
+                if let Ok(rules) = source.judge(&good, hub.platform(), None) {
                     let fault = faults.first().map(|f| &f.line);
                     tracing::error!(fault, number = held.number, "serves the group's last good rules");
                     (read, text) = (Ok(rules), good);
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -7,7 +7,7 @@
 use crate::core::{BadCommand, Command};
 use crate::operator::Operator;
 use crate::settings::Platform;
-use driftgap_routes::{Catalog, Effect as RuleEffect, Fault, Headers, Mapped, Request, Rules};
+use driftgap_routes::{Catalog, Effect as RuleEffect, Fault, Headers, Mapped, ReadOptions, Request, Rules};
 use http::HeaderMap;
 use std::net::IpAddr;
 use std::path::PathBuf;
@@ -40,7 +40,7 @@
     /// # Errors
     /// Every fault of theirs.
     pub fn read(&self, platform: &Platform) -> Result<Rules, Vec<Fault>> {
-        self.judge(&self.text()?, platform)
+        self.judge(&self.text()?, platform, None)
     }
 
     /// The file's text.
@@ -54,12 +54,19 @@
         })
     }
 
-    /// Rules by their text.
+    /// Rules by their text; those that are in force already are taken over.
     ///
     /// # Errors
     /// Every fault of theirs.
-    pub fn judge(&self, text: &str, platform: &Platform) -> Result<Rules, Vec<Fault>> {
-        Rules::read_part(text, &self.path.display().to_string(), self.part, &catalog(platform))
+    pub fn judge(
+        &self,
+        text: &str,
+        platform: &Platform,
+        previous: Option<&Rules>,
+    ) -> Result<Rules, Vec<Fault>> {
+        let file = self.path.display().to_string();
+        let options = ReadOptions { previous, ..ReadOptions::default() };
+        Rules::read_part(text, &file, self.part, &catalog(platform), &options)
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,9 +2,9 @@
 //! of what it prints and of the request's JSON. It must never judge anything itself: the ingress and this read
 //! the same rules by the same code.
 
-use crate::routing::Source;
+use crate::routing::{catalog, Source};
 use crate::settings::Platform;
-use driftgap_routes::{Explained, Headers, Request, Router, Rules, Verdict};
+use driftgap_routes::{Explained, Explainer, Fault, Headers, Request, Router, Rules, Verdict};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -102,8 +102,17 @@
 }
 
 fn read(file: &Path, platform: &Platform) -> Result<Rules, Vec<String>> {
-    let rules = Source::file(file.to_path_buf()).read(platform);
-    rules.map_err(|faults| faults.into_iter().map(|fault| fault.shown).collect())
+    Source::file(file.to_path_buf()).read(platform).map_err(shown)
+}
+
+/// Reads a file with what an explanation needs.
+fn read_to_explain(file: &Path, platform: &Platform) -> Result<Explainer, Vec<String>> {
+    let text = Source::file(file.to_path_buf()).text().map_err(shown)?;
+    Explainer::read(&text, &file.display().to_string(), None, &catalog(platform)).map_err(shown)
+}
+
+fn shown(faults: Vec<Fault>) -> Vec<String> {
+    faults.into_iter().map(|fault| fault.shown).collect()
 }
 
 /// What a file of rules is; or every fault, with the line it is in.
@@ -121,12 +130,13 @@
 /// # Errors
 /// What is wrong with the file or the request.
 pub fn explain(file: &Path, platform: &Platform, sample: &Sample) -> Result<String, Vec<String>> {
-    let mut router = Router::new(read(file, platform)?);
+    let explainer = read_to_explain(file, platform)?;
+    let mut router = Router::new(explainer.rules().clone());
     router.ready([u64::MAX].into_iter());
     let request = sample.request();
     let mut text = String::new();
     // Writing to memory does not fail.
-    for rule in router.explain(&request) {
+    for rule in explainer.explain(&request) {
         let _ = tell(&mut text, &rule);
     }
     let _ = match router.route(&request, 0.0) {
@@ -168,11 +178,12 @@
 /// # Errors
 /// What is wrong with the file.
 pub fn bench(file: &Path, platform: &Platform, sample: &Sample) -> Result<String, Vec<String>> {
-    let whole = read(file, platform)?.len();
+    let rules = read(file, platform)?;
+    let whole = rules.len();
     let sizes = std::iter::successors(Some(1), |size| Some(size * 10)).take_while(|size| *size < whole);
     let mut text = String::from("   rules   ns/request\n");
     for size in sizes.chain([whole]) {
-        let mut router = Router::new(read(file, platform)?.first(size));
+        let mut router = Router::new(rules.first(size));
         router.ready([u64::MAX].into_iter());
         let (begun, mut rounds) = (Instant::now(), 0u32);
         while begun.elapsed() < MEASURED {
