Expressions: a small compiled form, shared shapes and texts, a lean index

An expression keeps its text, typed tree, facts and ways for as long as it is served, and the index over tests holds an automaton and a set of bits as large as the file. Nothing of it is shared between rules.

The cost is part of the shape, so a constant that costs more has a shape of its own. Expression::select_key gives the key that Selector::new reads, 24 bytes where one text tells a test apart. The index is a hash table for each field and kind of key; a look-up of prefixes extends one hash over the lengths that prefixes have. Chosen holds the tests found, and merges those that are always looked at while it is read.

program.rs of 1,124 lines is split into program, machine, constant, fold and price. Prefix sets within an expression use the same prefix index; the crate no longer names aho-corasick itself.

Tests: the generators of random expressions moved to tests/generators; the property over the index reads keys instead of facts, since Selector::new does. None is dropped.

--- a/crates/expr/src/ast.rs
+++ b/crates/expr/src/ast.rs
@@ -9,7 +9,7 @@
 /// Deepest nesting, in nodes.
 pub const MOST_DEPTH: usize = 64;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Binary {
     Equal,
     Unequal,
--- a/crates/expr/src/check.rs
+++ b/crates/expr/src/check.rs
@@ -4,10 +4,11 @@
 //! longer than the text's length warrants.
 
 use crate::ast::{Binary, Tree, What};
+use crate::constant::{Const, ConstList, ConstMap, Pattern};
 use crate::error::{nearest, Error};
 use crate::facts::{Fact, Facts, Path, Texts};
+use crate::fold::fold;
 use crate::lex::short;
-use crate::program::{fold, Const};
 use crate::schema::{Bound, FieldId, Schema, Type};
 use ipnet::IpNet;
 use rapidhash::RapidHashMap;
@@ -31,7 +32,7 @@
 const MOST_DURATION: f64 = 3.2e12;
 
 /// What an operator or a function of the language does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Func {
     Size,
     StartsWith,
@@ -510,7 +511,7 @@
             }
             _ => self.check(b, facts)?,
         };
-        if matches!(list.as_const(), Some(Const::List(_, all)) if all.is_empty()) {
+        if matches!(list.as_const(), Some(Const::List(list)) if list.items.is_empty()) {
             return Ok(Node::constant(Const::Bool(false), span));
         }
         match (&list.ty, list.as_const()) {
@@ -528,23 +529,12 @@
                 if node.ty != **of {
                     return Err(mismatch(&node.span, &of.to_string(), &node));
                 }
-                let kind = match value {
-                    Some(Const::List(Type::Text, all)) => {
-                        let texts = all.iter().filter_map(|c| {
-                            if let Const::Text(t) = c {
-                                Some(t.clone())
-                            } else {
-                                None
-                            }
-                        });
-                        Kind::InSet(node.into(), Const::texts(texts.collect()))
-                    }
-                    Some(Const::List(Type::Int, all)) => {
-                        let ints =
-                            all.iter().filter_map(|c| if let Const::Int(v) = c { Some(*v) } else { None });
-                        Kind::InSet(node.into(), Const::IntSet(Arc::new(ints.collect())))
-                    }
-                    _ => Kind::InList(node.into(), list.into()),
+                let texts = value.and_then(Const::listed_texts).map(Const::texts);
+                let ints = || value.and_then(Const::listed_ints);
+                let set = texts.or_else(|| Some(Const::IntSet(Arc::new(ints()?.into_iter().collect()))));
+                let kind = match set {
+                    Some(set) => Kind::InSet(node.into(), set),
+                    None => Kind::InList(node.into(), list.into()),
                 };
                 Ok(Node::new(kind, Type::Bool, Bound::default(), span))
             }
@@ -658,7 +648,8 @@
                 return Err(Error::new(key.span, format!("{:?} stands twice", short(&text))));
             }
         }
-        Ok(Node::constant(Const::Map(ty.unwrap_or(Type::Text), Arc::new(map)), span))
+        let map = ConstMap { of: ty.unwrap_or(Type::Text), entries: map };
+        Ok(Node::constant(Const::Map(map.into()), span))
     }
 
     fn arity(&self, name: &str, args: &[Tree], want: &[usize], span: &Range<usize>) -> Res<()> {
@@ -915,7 +906,7 @@
             let problem = format!("the pattern has {} bytes, {MOST_PATTERN} are the most", text.len());
             return Err(Error::new(pattern.span, problem));
         }
-        if let Err(e) = crate::program::regex(&text) {
+        if let Err(e) = Pattern::new(&text) {
             let problem = match &e {
                 regex::Error::CompiledTooBig(most) => format!("the pattern takes more than {most} bytes"),
                 e => {
@@ -930,16 +921,13 @@
     }
 
     fn in_cidrs(&mut self, of: Node, ranges: Node, span: Range<usize>) -> Res<Node> {
-        let texts: Vec<Arc<str>> = match ranges.as_const() {
-            Some(Const::Text(text)) => vec![text.clone()],
-            Some(Const::List(Type::Text, all)) => all
-                .iter()
-                .filter_map(|c| if let Const::Text(t) = c { Some(t.clone()) } else { None })
-                .collect(),
-            _ => {
-                let error = Error::new(ranges.span, "address ranges must be written out");
-                return Err(error.help("such as \"10.0.0.0/8\", or a list of such"));
-            }
+        let texts = ranges.as_const().and_then(|value| match value {
+            Const::Text(text) => Some(vec![text.clone()]),
+            list => list.listed_texts(),
+        });
+        let Some(texts) = texts else {
+            let error = Error::new(ranges.span, "address ranges must be written out");
+            return Err(error.help("such as \"10.0.0.0/8\", or a list of such"));
         };
         let mut nets = Vec::with_capacity(texts.len());
         for text in texts {
@@ -1129,9 +1117,9 @@
             Kind::OrValue(of, default) => match &of.kind {
                 // A table that is written out: each of its values where the key is that value's.
                 Kind::Lookup(map, key) if map.as_const().is_some() => {
-                    let Some(Const::Map(_, map)) = map.as_const() else { return None };
+                    let Some(Const::Map(map)) = map.as_const() else { return None };
                     let path = self.path(key);
-                    let mut entries: Vec<_> = map.iter().collect();
+                    let mut entries: Vec<_> = map.entries.iter().collect();
                     entries.sort_by(|a, b| a.0.cmp(b.0));
                     for (name, value) in entries {
                         let is = Fact { texts: Texts::In(BTreeSet::from([name.clone()])), ..Fact::default() };
@@ -1139,7 +1127,10 @@
                             found.push((Leaf::Const(value.clone()), known, span.clone()));
                         }
                     }
-                    let not = Fact { texts: Texts::NotIn(map.keys().cloned().collect()), ..Fact::default() };
+                    let not = Fact {
+                        texts: Texts::NotIn(map.entries.keys().cloned().collect()),
+                        ..Fact::default()
+                    };
                     if let Some(known) = with(&facts, path, not) {
                         self.gather(default, known, lets, found)?;
                     }
@@ -1217,7 +1208,8 @@
         }
         values.push(value);
     }
-    Ok(Node::constant(Const::List(ty.unwrap_or(Type::Text), values.into()), span))
+    let list = ConstList { of: ty.unwrap_or(Type::Text), items: values };
+    Ok(Node::constant(Const::List(list.into()), span))
 }
 
 fn larger(a: Bound, b: Bound) -> Bound {
@@ -1255,10 +1247,3 @@
     }
     (ms <= MOST_DURATION).then_some((sign * ms).round() as i64)
 }
-
-/// Constants as a set, for a look-up.
-impl Const {
-    pub(crate) fn texts(all: Vec<Arc<str>>) -> Const {
-        Const::TextSet(Arc::new(all.into_iter().collect()))
-    }
-}
--- a/crates/expr/src/explain.rs
+++ b/crates/expr/src/explain.rs
@@ -2,7 +2,8 @@
 //! It must never be on the serving path: each part is compiled anew.
 
 use crate::check::{Kind, Node};
-use crate::program::{Program, Scratch};
+use crate::machine::{run, Scratch};
+use crate::program::Program;
 use crate::schema::{Input, Type, Value};
 use crate::Expression;
 
@@ -95,7 +96,7 @@
         });
         let (program, _) = Program::new(&whole, self.slots, &self.schema);
         let mut scratch = Scratch::default();
-        let (told, truth) = match program.run(input, &mut scratch) {
+        let (told, truth) = match run(program.code(), input, &mut scratch) {
             Ok(Some(Value::Bool(value))) => (value.to_string(), Some(value)),
             Ok(Some(value)) => (value.to_string(), None),
             Ok(None) => ("absent".into(), None),
--- a/crates/expr/src/lib.rs
+++ b/crates/expr/src/lib.rs
@@ -27,6 +27,9 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 //!
+//! [`Expression::compile`] gives the small form that a program keeps of many expressions, and [`Selector`] tells
+//! which of many tests can be true for an input at all.
+//!
 //! It does no I/O, reads no clock and knows no wire.
 
 #![forbid(unsafe_code)]
@@ -34,23 +37,34 @@
 
 mod ast;
 mod check;
+mod compiled;
+mod constant;
 mod error;
 mod explain;
 mod facts;
+mod fold;
+mod interner;
 mod lex;
+mod machine;
+mod price;
 mod program;
 mod schema;
 mod select;
+mod select_key;
+mod text_index;
 
 pub use ast::MOST_DEPTH;
 pub use check::{MOST_LOCALS, MOST_MADE, MOST_PARTS, MOST_PATTERN, MOST_REGEX, MOST_REGEXES};
+pub use compiled::Compiled;
 pub use error::{Error, Origin};
 pub use explain::Step;
 pub use facts::{Fact, Facts, Path, Texts};
+pub use interner::Interner;
 pub use lex::{MOST_LITERAL, MOST_TEXT, MOST_TOKENS};
-pub use program::{Fault, Scratch};
+pub use machine::{Fault, Scratch};
 pub use schema::{Bound, Field, FieldId, Input, Schema, Type, Value};
 pub use select::{Chosen, Selector};
+pub use select_key::SelectKey;
 
 use check::{Checker, Leaf, Node};
 use program::Program;
@@ -217,6 +231,16 @@
         Error::new(span, problem).help(help).located(&self.text)
     }
 
+    /// Its small form, which evaluates alike and keeps nothing that only checks and explanations need.
+    pub fn compile(&self, interner: &mut Interner) -> Compiled {
+        interner.compiled(&self.program)
+    }
+
+    /// What an index finds it by, as a test.
+    pub fn select_key(&self, interner: &mut Interner) -> SelectKey {
+        SelectKey::new(self.when_true(), interner)
+    }
+
     /// Its value for an input; none: the value is absent, which only one of an optional type is.
     ///
     /// # Errors
@@ -226,7 +250,7 @@
         input: &'b dyn Input,
         scratch: &'b mut Scratch,
     ) -> Result<Option<Value<'b>>, Fault> {
-        self.program.run(input, scratch)
+        machine::run(self.program.code(), input, scratch)
     }
 
     /// The value of a test.
@@ -234,7 +258,7 @@
     /// # Errors
     /// As [`Expression::eval`]; or it is no test.
     pub fn test(&self, input: &dyn Input, scratch: &mut Scratch) -> Result<bool, Fault> {
-        match self.program.run(input, scratch)? {
+        match machine::run(self.program.code(), input, scratch)? {
             Some(Value::Bool(value)) => Ok(value),
             _ => Err(Fault::Input),
         }
--- a/crates/expr/src/select.rs
+++ b/crates/expr/src/select.rs
@@ -1,104 +1,101 @@
-//! An index over the tests of a file: which of a thousand can be true for an input at all. It owns the choice
-//! of the place that a test is found by, one look-up of equal texts and one automaton of beginnings for each
-//! such place. It must never leave out a test that could be true: what is left in is evaluated as before.
+//! An index over the tests of a file: which of many can be true for an input at all. It must never leave out a
+//! test that could be true: what is left in is evaluated as before.
 
-use crate::facts::{Facts, Path, Texts};
-use crate::program::Begins;
 use crate::schema::{FieldId, Input, Value};
-use rapidhash::RapidHashMap;
+use crate::select_key::SelectKey;
+use crate::text_index::{ExactIndex, PrefixIndex};
 use std::collections::BTreeMap;
+use std::iter::Peekable;
 use std::sync::Arc;
 
-/// A test that is found by more texts than this is always looked at.
-const MOST_TEXTS: usize = 4096;
-
-/// Tests found by one field.
-struct Place {
+/// Tests that are found by one field.
+struct FieldIndex {
     field: FieldId,
     /// Tests by a text that the field must be.
-    equal: RapidHashMap<Arc<str>, Vec<u32>>,
-    /// Beginnings that the field must have, and their tests.
-    begins: Option<Begins>,
-    tests: Vec<Vec<u32>>,
+    equal: ExactIndex,
+    /// Tests by a text that the field must begin with.
+    prefixes: PrefixIndex,
 }
 
-/// The index.
+/// The index. Tests have the numbers of their keys' order.
 pub struct Selector {
-    places: Vec<Place>,
-    /// Tests that are always looked at, as a set of bits.
-    always: Vec<u64>,
+    fields: Vec<FieldIndex>,
+    /// Tests that are always looked at, in order.
+    always: Arc<[u32]>,
     count: usize,
 }
 
+/// The texts by which tests are found by one field, with the tests' numbers.
+#[derive(Default)]
+struct FieldTexts {
+    equal: Vec<(Arc<str>, u32)>,
+    prefixes: Vec<(Arc<str>, u32)>,
+}
+
 /// The tests that were chosen, kept for the next time so that nothing is allocated again.
 #[derive(Clone, Debug, Default)]
-pub struct Chosen(Vec<u64>);
+pub struct Chosen {
+    /// In order, each once.
+    found: Vec<u32>,
+    /// In order, none of them found.
+    always: Arc<[u32]>,
+}
 
 impl Chosen {
     /// The tests' numbers, from the lowest.
     pub fn iter(&self) -> impl Iterator<Item = usize> + '_ {
-        self.0.iter().enumerate().flat_map(|(word, bits)| {
-            let mut bits = *bits;
-            std::iter::from_fn(move || {
-                let bit = bits.trailing_zeros() as usize;
-                (bits != 0).then(|| {
-                    bits &= bits - 1;
-                    64 * word + bit
-                })
-            })
-        })
+        let (mut found, mut always) = (self.found.iter().peekable(), self.always.iter().peekable());
+        std::iter::from_fn(move || lower(&mut found, &mut always)).map(|test| test as usize)
     }
+}
 
-    fn add(&mut self, tests: &[u32]) {
-        for test in tests {
-            self.0[*test as usize / 64] |= 1 << (test % 64);
-        }
-    }
+/// The lower one of the next of two orders.
+fn lower<'a, I: Iterator<Item = &'a u32>>(a: &mut Peekable<I>, b: &mut Peekable<I>) -> Option<u32> {
+    let from_a = match (a.peek(), b.peek()) {
+        (Some(a), Some(b)) => a < b,
+        (a, _) => a.is_some(),
+    };
+    if from_a { a.next() } else { b.next() }.copied()
 }
 
 impl Selector {
-    /// An index over tests by what is known wherever each is true, in order; none: it never is.
-    pub fn new<'a>(tests: impl Iterator<Item = Option<&'a Facts>>) -> Selector {
-        type Found = (RapidHashMap<Arc<str>, Vec<u32>>, BTreeMap<Arc<str>, Vec<u32>>);
-        let mut found: BTreeMap<FieldId, Found> = BTreeMap::new();
+    /// An index over tests by their keys.
+    pub fn new<'k>(keys: impl Iterator<Item = &'k SelectKey>) -> Selector {
+        let mut texts: BTreeMap<FieldId, FieldTexts> = BTreeMap::new();
         let (mut always, mut count) = (Vec::new(), 0);
-        for facts in tests {
-            let test = count as u32;
-            if count % 64 == 0 {
-                always.push(0);
-            }
+        for (number, key) in keys.enumerate() {
+            let test = number as u32;
             count += 1;
-            let Some(facts) = facts else { continue };
-            match place(facts) {
-                Some((field, true, texts)) => {
-                    let (equal, _) = found.entry(field).or_default();
-                    texts.into_iter().for_each(|text| equal.entry(text).or_default().push(test));
+            match key {
+                SelectKey::Always => always.push(test),
+                SelectKey::Never => {}
+                SelectKey::Equals(field, text) => {
+                    texts.entry(*field).or_default().equal.push((text.clone(), test));
                 }
-                Some((field, false, texts)) => {
-                    let (_, begins) = found.entry(field).or_default();
-                    texts.into_iter().for_each(|text| begins.entry(text).or_default().push(test));
+                SelectKey::EqualsAny(field, all) => {
+                    let equal = &mut texts.entry(*field).or_default().equal;
+                    equal.extend(all.iter().map(|text| (text.clone(), test)));
                 }
-                None => always[test as usize / 64] |= 1 << (test % 64),
-            }
-        }
-        let mut places = Vec::new();
-        for (field, (equal, begins)) in found {
-            let (texts, tests): (Vec<_>, Vec<_>) = begins.into_iter().unzip();
-            let automaton = if texts.is_empty() { None } else { Begins::new(&texts) };
-            if automaton.is_none() {
-                // Too large for an automaton: always looked at.
-                for test in tests.iter().flatten() {
-                    always[*test as usize / 64] |= 1 << (test % 64);
+                SelectKey::BeginsWith(field, text) => {
+                    texts.entry(*field).or_default().prefixes.push((text.clone(), test));
+                }
+                SelectKey::BeginsWithAny(field, all) => {
+                    let prefixes = &mut texts.entry(*field).or_default().prefixes;
+                    prefixes.extend(all.iter().map(|text| (text.clone(), test)));
                 }
             }
-            places.push(Place { field, equal, begins: automaton, tests });
         }
-        Selector { places, always, count }
+        let index = |(field, texts): (FieldId, FieldTexts)| {
+            let (equal, prefixes) = (ExactIndex::new(texts.equal), PrefixIndex::new(texts.prefixes));
+            FieldIndex { field, equal, prefixes }
+        };
+        let fields = texts.into_iter().map(index).collect();
+        Selector { fields, always: always.into(), count }
     }
 
     /// Tests that are always looked at.
     pub fn unindexed(&self) -> usize {
-        self.always.iter().map(|word| word.count_ones() as usize).sum()
+        self.always.len()
     }
 
     /// Tests in all.
@@ -111,38 +108,28 @@
         self.count == 0
     }
 
-    /// Chooses the tests that may be true for an input.
+    /// Bytes on the heap, the texts apart.
+    pub fn heap_bytes(&self) -> usize {
+        let fields = self.fields.iter().map(|index| index.equal.heap_bytes() + index.prefixes.heap_bytes());
+        fields.sum::<usize>()
+            + self.fields.capacity() * size_of::<FieldIndex>()
+            + self.always.len() * size_of::<u32>()
+    }
+
+    /// Chooses the tests that may be true for an input. It takes time by the texts that are looked up and the
+    /// tests that they choose, not by the tests that there are.
     pub fn choose(&self, input: &dyn Input, chosen: &mut Chosen) {
-        chosen.0.clear();
-        chosen.0.extend_from_slice(&self.always);
-        for place in &self.places {
-            let Some(Value::Text(text)) = input.get(place.field) else { continue };
-            if let Some(tests) = place.equal.get(text) {
-                chosen.add(tests);
-            }
-            if let Some(begins) = &place.begins {
-                begins.each(text, |pattern| {
-                    chosen.add(&place.tests[pattern]);
-                    true
-                });
-            }
+        if !Arc::ptr_eq(&chosen.always, &self.always) {
+            chosen.always = self.always.clone();
+        }
+        chosen.found.clear();
+        for index in &self.fields {
+            let Some(Value::Text(text)) = input.get(index.field) else { continue };
+            chosen.found.extend(index.equal.find(text));
+            chosen.found.extend(index.prefixes.find(text));
         }
+        chosen.found.sort_unstable();
+        // Tests with several texts may have been found by more than one.
+        chosen.found.dedup();
     }
 }
-
-/// The field, and the texts that it must be (`true`) or begin with, by which a test is found best.
-fn place(facts: &Facts) -> Option<(FieldId, bool, Vec<Arc<str>>)> {
-    let candidates = facts.iter().filter_map(|(path, fact)| {
-        let Path::Field(field) = path else { return None };
-        let (equal, texts) = match (&fact.texts, &fact.prefixes) {
-            (Texts::In(texts), _) => (true, texts),
-            (_, Some(prefixes)) => (false, prefixes),
-            _ => return None,
-        };
-        let texts: Vec<Arc<str>> = texts.iter().cloned().collect();
-        let shortest = texts.iter().map(|text| text.len()).min().unwrap_or(0);
-        (texts.len() <= MOST_TEXTS && shortest > 0).then_some((shortest, *field, equal, texts))
-    });
-    // Long texts tell most apart: a path does, a method does not.
-    candidates.max_by_key(|(shortest, ..)| *shortest).map(|(_, field, equal, texts)| (field, equal, texts))
-}
--- /dev/null
+++ b/crates/expr/src/text_index.rs
@@ -0,0 +1,179 @@
+//! Hash tables from texts to numbers, held in few large arrays: one that finds the entries of a whole text, one
+//! that finds the entries whose texts are prefixes of a text. A look-up takes time by the length of the text
+//! and the entries found, however many entries there are.
+
+use rapidhash::v3::rapidhash_v3;
+use std::collections::BTreeSet;
+use std::hash::{Hash, Hasher};
+use std::mem::size_of;
+use std::sync::Arc;
+
+/// In place of an entry's number: there is none.
+const NONE: u32 = u32::MAX;
+/// An odd number with its bits spread evenly (2^64 over the golden ratio), to mix hashes by.
+const MIX: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// A text with a number, and the next entry of the same text.
+#[derive(Debug)]
+struct Entry {
+    text: Arc<str>,
+    value: u32,
+    next: u32,
+}
+
+/// A place of the hash table: part of the hash, and the first entry of a text.
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    check: u32,
+    first: u32,
+}
+
+const EMPTY: Slot = Slot { check: 0, first: NONE };
+
+/// An open-addressing hash table with linear probing. Entries of equal texts are chained in their order.
+#[derive(Debug)]
+struct Table {
+    entries: Box<[Entry]>,
+    slots: Box<[Slot]>,
+}
+
+impl Table {
+    fn new(texts: Vec<(Arc<str>, u32)>, hash: impl Fn(&[u8]) -> u64) -> Table {
+        let entry = |(text, value)| Entry { text, value, next: NONE };
+        let entries: Box<[Entry]> = texts.into_iter().map(entry).collect();
+        // A quarter of the slots stays free at least: every search ends.
+        let slots = vec![EMPTY; entries.len() + entries.len() / 3 + 1].into();
+        let mut table = Table { entries, slots };
+        // From the last on, so that each chain leads from the first to the last.
+        for number in (0..table.entries.len()).rev() {
+            table.insert(number, hash(table.entries[number].text.as_bytes()));
+        }
+        table
+    }
+
+    fn insert(&mut self, number: usize, hash: u64) {
+        let at = self.search(self.entries[number].text.as_bytes(), hash);
+        self.entries[number].next = self.slots[at].first;
+        self.slots[at] = Slot { check: check(hash), first: number as u32 };
+    }
+
+    /// The slot of a text, or the free one where it would be.
+    fn search(&self, text: &[u8], hash: u64) -> usize {
+        let mut at = (((hash >> 32) * self.slots.len() as u64) >> 32) as usize;
+        loop {
+            let slot = self.slots[at];
+            let found =
+                || slot.check == check(hash) && self.entries[slot.first as usize].text.as_bytes() == text;
+            if slot.first == NONE || found() {
+                return at;
+            }
+            at = if at + 1 == self.slots.len() { 0 } else { at + 1 };
+        }
+    }
+
+    /// The numbers of a text, in order.
+    fn find(&self, text: &[u8], hash: u64) -> impl Iterator<Item = u32> + '_ {
+        let mut next = self.slots[self.search(text, hash)].first;
+        std::iter::from_fn(move || {
+            let entry = self.entries.get(next as usize)?;
+            next = entry.next;
+            Some(entry.value)
+        })
+    }
+
+    fn texts(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.entries.iter().map(|entry| &entry.text)
+    }
+
+    /// Bytes on the heap, the texts apart.
+    fn heap_bytes(&self) -> usize {
+        self.entries.len() * size_of::<Entry>() + self.slots.len() * size_of::<Slot>()
+    }
+}
+
+fn check(hash: u64) -> u32 {
+    hash as u32
+}
+
+/// Numbers by whole texts.
+#[derive(Debug)]
+pub(crate) struct ExactIndex(Table);
+
+impl ExactIndex {
+    pub(crate) fn new(texts: Vec<(Arc<str>, u32)>) -> ExactIndex {
+        ExactIndex(Table::new(texts, rapidhash_v3))
+    }
+
+    /// The numbers of a text, in order.
+    pub(crate) fn find(&self, text: &str) -> impl Iterator<Item = u32> + '_ {
+        self.0.find(text.as_bytes(), rapidhash_v3(text.as_bytes()))
+    }
+
+    /// Bytes on the heap, the texts apart.
+    pub(crate) fn heap_bytes(&self) -> usize {
+        self.0.heap_bytes()
+    }
+}
+
+/// Numbers by prefixes of texts. A look-up tries each length that a prefix has, and extends the hash of the
+/// text's beginning from one to the next.
+#[derive(Debug)]
+pub(crate) struct PrefixIndex {
+    table: Table,
+    /// Lengths of the prefixes, from the shortest, each once.
+    lengths: Box<[usize]>,
+}
+
+impl PrefixIndex {
+    pub(crate) fn new(prefixes: Vec<(Arc<str>, u32)>) -> PrefixIndex {
+        let lengths: BTreeSet<usize> = prefixes.iter().map(|(text, _)| text.len()).collect();
+        let lengths: Box<[usize]> = lengths.into_iter().collect();
+        let last_hash = |text: &[u8]| beginnings(&lengths, text).last().map_or(0, |(_, hash)| hash);
+        let table = Table::new(prefixes, last_hash);
+        PrefixIndex { table, lengths }
+    }
+
+    /// Length of the longest prefix in bytes.
+    pub(crate) fn longest(&self) -> usize {
+        self.lengths.last().copied().unwrap_or(0)
+    }
+
+    /// The numbers of all prefixes that a text has, from the shortest prefix.
+    pub(crate) fn find<'t>(&'t self, text: &'t str) -> impl Iterator<Item = u32> + 't {
+        let beginnings = beginnings(&self.lengths, text.as_bytes());
+        beginnings.flat_map(|(beginning, hash)| self.table.find(beginning, hash))
+    }
+
+    /// Bytes on the heap, the texts apart.
+    pub(crate) fn heap_bytes(&self) -> usize {
+        self.table.heap_bytes() + size_of::<usize>() * self.lengths.len()
+    }
+}
+
+/// The beginnings of a text that have these lengths, with their hashes. A hash depends on all lengths up to its
+/// own.
+fn beginnings<'t>(lengths: &'t [usize], text: &'t [u8]) -> impl Iterator<Item = (&'t [u8], u64)> {
+    let (mut from, mut hash) = (0, 0u64);
+    lengths.iter().map_while(move |&to| {
+        let part = text.get(from..to)?;
+        hash = (hash.rotate_left(32) ^ rapidhash_v3(part)).wrapping_mul(MIX);
+        from = to;
+        Some((&text[..to], hash))
+    })
+}
+
+/// By the prefixes, in their order.
+impl PartialEq for PrefixIndex {
+    fn eq(&self, other: &PrefixIndex) -> bool {
+        self.table.texts().eq(other.table.texts())
+    }
+}
+
+impl Eq for PrefixIndex {}
+
+impl Hash for PrefixIndex {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.table.entries.len().hash(state);
+        self.table.texts().for_each(|text| text.hash(state));
+    }
+}
--- a/crates/routes/src/rules.rs
+++ b/crates/routes/src/rules.rs
@@ -7,7 +7,7 @@
 use crate::file::{Fault, Reader, Text, Value};
 use crate::limit::{Allowance, Limit};
 use crate::request::{field, instance_schema, request_schema};
-use driftgap_expr::{Expression, Facts, Outcome, Path, Schema, Selector, Type};
+use driftgap_expr::{Expression, Facts, Interner, Outcome, Path, Schema, SelectKey, Selector, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use toml::de::DeTable;
@@ -203,11 +203,18 @@
     #[must_use]
     pub fn first(mut self, count: usize) -> Rules {
         self.rules.truncate(count);
-        self.selector = Selector::new(self.rules.iter().map(|rule| rule.when.when_true()));
+        self.selector = selector(&self.rules);
         self
     }
 }
 
+/// An index over the tests of rules.
+fn selector(rules: &[Rule]) -> Selector {
+    let mut interner = Interner::new();
+    let keys: Vec<SelectKey> = rules.iter().map(|rule| rule.when.select_key(&mut interner)).collect();
+    Selector::new(keys.iter())
+}
+
 struct Judge<'t> {
     reader: Reader<'t>,
     catalog: &'t Catalog,
@@ -250,7 +257,7 @@
                 rules.extend(self.rule(fields, value.span(), &mut names));
             }
         }
-        let selector = Selector::new(rules.iter().map(|rule| rule.when.when_true()));
+        let selector = selector(&rules);
         // Every test may be looked at, every matching rule may go on: that is the worst.
         let cost = rules.iter().map(|rule| rule.when.cost() + rule.cost()).sum();
         if cost > most {
