--- a/crates/routes/src/cost.rs
+++ b/crates/routes/src/cost.rs
@@ -7,7 +7,7 @@
 //! texts it brings.
 
 use crate::rule::Rule;
-use driftgap_expr::FieldId;
+use driftgap_expr::{FieldId, SelectKey};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -25,19 +25,29 @@
     let mut always = 0u64;
     let mut fields: BTreeMap<FieldId, Vec<(Arc<str>, TextCost)>> = BTreeMap::new();
     for rule in rules {
-        let Some((field, equal, texts)) = rule.key.place() else {
+        let Some((field, texts, cost)) = found_by(rule) else {
             always = always.saturating_add(rule.cost);
             continue;
         };
-        let cost = match equal {
-            true => TextCost { equal: rule.cost, prefix: 0 },
-            false => TextCost { equal: 0, prefix: rule.cost },
-        };
-        fields.entry(field).or_default().extend(texts.into_iter().map(|text| (text, cost)));
+        let texts = texts.iter().map(|text| (text.clone(), cost));
+        fields.entry(field).or_default().extend(texts);
     }
     fields.into_values().map(worst_text).fold(always, u64::saturating_add)
 }
 
+/// The field and the texts that a rule is found by, and what it costs for them; none: it is always looked at.
+fn found_by(rule: &Rule) -> Option<(FieldId, &[Arc<str>], TextCost)> {
+    let equal = TextCost { equal: rule.cost, prefix: 0 };
+    let prefix = TextCost { equal: 0, prefix: rule.cost };
+    match &rule.key {
+        SelectKey::Always | SelectKey::Never => None,
+        SelectKey::Equals(field, text) => Some((*field, std::slice::from_ref(text), equal)),
+        SelectKey::EqualsAny(field, texts) => Some((*field, texts, equal)),
+        SelectKey::BeginsWith(field, text) => Some((*field, std::slice::from_ref(text), prefix)),
+        SelectKey::BeginsWithAny(field, texts) => Some((*field, texts, prefix)),
+    }
+}
+
 /// The most that one text of a field reaches.
 fn worst_text(mut texts: Vec<(Arc<str>, TextCost)>) -> u64 {
     // In order, each text follows its beginnings, with nothing between that does not begin with them.
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -17,7 +17,6 @@
 mod effect;
 mod environment;
 mod explain;
-mod expressions;
 mod fault;
 mod limit;
 mod mapping;
--- a/crates/routes/src/mapping.rs
+++ b/crates/routes/src/mapping.rs
@@ -1,13 +1,12 @@
 //! Checks of the parts of a rule that make a command of a request: its class, units, plan, partner and the rest.
 
 use crate::effect::{self, Effect, Unfit};
-use crate::expressions::Checked;
 use crate::names::nearest;
 use crate::reader::Text;
 use crate::request::field;
 use crate::rule::{PartName, Parts};
 use crate::rule_reader::{RuleFields, RuleReader};
-use driftgap_expr::{Facts, FieldId, Outcome, Path, Type};
+use driftgap_expr::{Expression, Facts, FieldId, Outcome, Path, Type};
 
 /// Keys that make sense beside `class` only.
 const KEYS: [&str; 8] = ["plan", "partner", "units", "id", "deadline", "spread", "first", "terms"];
@@ -86,7 +85,7 @@
         self.values.fault(span, problem, Some(help));
     }
 
-    fn class(&mut self, fields: &RuleFields<'_, '_>, matched: &Matched<'_>) -> Option<Checked> {
+    fn class(&mut self, fields: &RuleFields<'_, '_>, matched: &Matched<'_>) -> Option<Expression> {
         let (class, text) = self.part(fields.table, "class", matched.facts, &Type::Text)?;
         if matched.certain {
             let classes = &self.environment.catalog.classes;
@@ -98,7 +97,7 @@
         Some(class)
     }
 
-    fn units(&mut self, fields: &RuleFields<'_, '_>, matched: &Matched<'_>) -> Option<Checked> {
+    fn units(&mut self, fields: &RuleFields<'_, '_>, matched: &Matched<'_>) -> Option<Expression> {
         let (units, text) = self.part(fields.table, "units", matched.facts, &Type::Double)?;
         if matched.certain {
             let unfit = effect::units(&units, self.environment.catalog.most_units);
@@ -107,7 +106,7 @@
         Some(units)
     }
 
-    fn plan(&mut self, fields: &RuleFields<'_, '_>, matched: &Matched<'_>) -> Option<Checked> {
+    fn plan(&mut self, fields: &RuleFields<'_, '_>, matched: &Matched<'_>) -> Option<Expression> {
         let (plan, text) = self.part(fields.table, "plan", matched.facts, &Type::Text)?;
         let plans = &self.environment.catalog.plans;
         for way in plan.ways().unwrap_or(&[]) {
@@ -121,7 +120,7 @@
         Some(plan)
     }
 
-    fn refuse_unfit(&mut self, expression: &Checked, text: &Text, unfit: Vec<Unfit>) {
+    fn refuse_unfit(&mut self, expression: &Expression, text: &Text, unfit: Vec<Unfit>) {
         for unfit in unfit {
             let error = expression.fault(unfit.span, unfit.problem, unfit.help);
             self.values.expression_fault(text, &error);
@@ -133,7 +132,7 @@
         &mut self,
         fields: &RuleFields<'_, '_>,
         matched: &Matched<'_>,
-        class: Option<&Checked>,
+        class: Option<&Expression>,
     ) {
         for (key, place) in [("plan", field::PLAN), ("partner", field::PARTNER), ("units", field::UNITS)] {
             if matched.lacks(fields, key, place) {
@@ -149,7 +148,7 @@
         }
     }
 
-    fn discards_repeats(&self, class: &Checked) -> bool {
+    fn discards_repeats(&self, class: &Expression) -> bool {
         let classes = &self.environment.catalog.classes;
         let is_token = |name: &str| classes.iter().any(|(n, effect)| n == name && *effect == Effect::Token);
         let mut ways = class.ways().unwrap_or(&[]).iter();
--- a/crates/routes/src/pool.rs
+++ b/crates/routes/src/pool.rs
@@ -1,10 +1,9 @@
 //! Pools of instances: which instances are in each, and where its requests go while none of them is ready.
 
-use crate::expressions::{Compile, Compiled, Interner};
 use crate::names::{name, nearest};
 use crate::reader::{Value, Values};
 use crate::request::instance_schema;
-use driftgap_expr::{Expression, FieldId, Input, Schema, Scratch, Type};
+use driftgap_expr::{Compiled, Expression, FieldId, Input, Interner, Schema, Scratch, Type};
 use toml::de::DeTable;
 
 /// Most pools: an instance's are a word of bits, one of which stands for all instances.
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -98,7 +98,7 @@
 impl RuleParts {
     fn finish(self, shared: Arc<std::sync::Mutex<Shared>>) -> RuleSet {
         let RuleParts { rules, pools, environment, cost, report } = self;
-        let selector = Selector::new(rules.iter().map(|rule| rule.key.facts()));
+        let selector = Selector::new(rules.iter().map(|rule| &rule.key));
         RuleSet::new(rules, pools, environment, selector, cost, report, shared)
     }
 }
--- a/crates/routes/src/reader.rs
+++ b/crates/routes/src/reader.rs
@@ -3,7 +3,6 @@
 //! rule.
 
 use crate::document::Excerpt;
-use crate::expressions::Checked;
 use crate::fault::Fault;
 use driftgap_expr::{Error, Expression, Facts, Origin, Schema, Type};
 use std::cell::OnceCell;
@@ -238,9 +237,9 @@
         schema: &Schema,
         facts: &Facts,
         want: &Type,
-    ) -> Option<Checked> {
+    ) -> Option<Expression> {
         match Expression::within(&text.text, schema, facts, want, self.most_cost) {
-            Ok(expression) => Some(expression.into()),
+            Ok(expression) => Some(expression),
             Err(e) => {
                 self.expression_fault(text, &e);
                 None
--- a/crates/routes/src/route.rs
+++ b/crates/routes/src/route.rs
@@ -2,13 +2,12 @@
 //! router holds the rules in force and which pools have ready instances. It does no I/O, reads no clock, and
 //! chooses no instance: that is the decision module's, among those of the pool.
 
-use crate::expressions::Compiled;
 use crate::limit::{Limit, Ticket};
 use crate::pool::{Fallback, ANY, MOST_AWAY, MOST_POOLS};
 use crate::request::{cut, Instance, Request, View};
 use crate::rule::{Part, PartName, Rule, Shared};
 use crate::rules::{RuleSet, Rules};
-use driftgap_expr::{Chosen, Fault, Scratch, Value};
+use driftgap_expr::{Chosen, Compiled, Fault, Scratch, Value};
 use std::sync::{Arc, Mutex};
 
 /// The bit that stands for all instances: every instance has it.
--- a/crates/routes/src/rule.rs
+++ b/crates/routes/src/rule.rs
@@ -1,10 +1,9 @@
 //! A rule as it is kept: its compiled test, and what it does, which rules that do the same share.
 
 use crate::content::ContentHash;
-use crate::expressions::{Checked, Compile, Compiled, Interner, SelectKey};
 use crate::limit::{Allowance, Limit};
-use driftgap_expr::Facts;
-use std::collections::HashMap;
+use driftgap_expr::{Compiled, Expression, Interner, SelectKey};
+use std::collections::HashSet;
 use std::fmt;
 use std::sync::Arc;
 
@@ -48,8 +47,8 @@
     }
 }
 
-/// Checked expressions with what they are for, in the order of their evaluation.
-pub(crate) type Parts = Vec<(PartName, Checked)>;
+/// Expression expressions with what they are for, in the order of their evaluation.
+pub(crate) type Parts = Vec<(PartName, Expression)>;
 
 /// A limit as the file has it: one that is equal under the same rule keeps its state when the file is read again.
 #[derive(Clone, Debug, PartialEq)]
@@ -63,19 +62,21 @@
 /// A rule whose expressions are checked and not yet compiled.
 pub(crate) struct CheckedRule {
     pub(crate) name: String,
-    pub(crate) when: Checked,
+    pub(crate) when: Expression,
     pub(crate) parts: Parts,
     pub(crate) limit: Option<LimitSpec>,
     pub(crate) goes_on: bool,
 }
 
 /// An expression of a rule.
+#[derive(PartialEq, Eq, Hash)]
 pub(crate) struct Part {
     pub(crate) name: PartName,
     pub(crate) expression: Compiled,
 }
 
 /// What a rule does.
+#[derive(PartialEq, Eq, Hash)]
 pub(crate) struct Body {
     /// In the order of their evaluation.
     pub(crate) parts: Box<[Part]>,
@@ -114,7 +115,7 @@
     /// though they are allocated with its first request.
     pub(crate) fn heap_bytes(&self) -> usize {
         let own = ARC_HEADER + size_of::<Rule>() + self.name.len();
-        let expressions = self.when.heap_bytes() + self.key.heap_bytes();
+        let expressions = self.when.heap_bytes() + key_bytes(&self.key);
         // One more holds the body: the table by which it is shared.
         let sharing = Arc::strong_count(&self.body).saturating_sub(1).max(1);
         own + expressions + self.body.heap_bytes().div_ceil(sharing) + self.limit_bytes()
@@ -132,11 +133,21 @@
     }
 }
 
+/// Bytes of a key's list of texts; the texts are those of the test.
+fn key_bytes(key: &SelectKey) -> usize {
+    match key {
+        SelectKey::EqualsAny(_, texts) | SelectKey::BeginsWithAny(_, texts) => {
+            ARC_HEADER + size_of_val::<[Arc<str>]>(texts)
+        }
+        SelectKey::Always | SelectKey::Never | SelectKey::Equals(..) | SelectKey::BeginsWith(..) => 0,
+    }
+}
+
 /// What rules share, those in force and those of the next file alike.
 #[derive(Default)]
 pub(crate) struct Shared {
     pub(crate) interner: Interner,
-    bodies: HashMap<ContentHash, Arc<Body>>,
+    bodies: HashSet<Arc<Body>>,
 }
 
 impl Shared {
@@ -158,12 +169,8 @@
 
     /// What a rule does; one that does the same is shared.
     fn body(&mut self, checked: &CheckedRule) -> Arc<Body> {
-        let key = body_key(checked);
-        if let Some(body) = self.bodies.get(&key) {
-            return body.clone();
-        }
         let interner = &mut self.interner;
-        let part = |(name, part): &(PartName, Checked)| Part {
+        let part = |(name, part): &(PartName, Expression)| Part {
             name: match name {
                 PartName::Note(name) => PartName::Note(interner.text(name)),
                 PartName::Term(name) => PartName::Term(interner.text(name)),
@@ -171,29 +178,19 @@
             },
             expression: part.compile(interner),
         };
-        let body = Arc::new(Body { parts: checked.parts.iter().map(part).collect() });
-        self.bodies.insert(key, body.clone());
+        let body = Body { parts: checked.parts.iter().map(part).collect() };
+        if let Some(known) = self.bodies.get(&body) {
+            return known.clone();
+        }
+        let body = Arc::new(body);
+        self.bodies.insert(body.clone());
         body
     }
 
     /// Forgets what no rule needs any more.
     pub(crate) fn sweep(&mut self) {
-        self.bodies.retain(|_, body| Arc::strong_count(body) > 1);
+        self.bodies.retain(|body| Arc::strong_count(body) > 1);
         self.bodies.shrink_to_fit();
         self.interner.sweep();
     }
 }
-
-/// What the compiled form of a body depends on: the texts of its expressions, and which places of the request
-/// its test knows to be there.
-fn body_key(checked: &CheckedRule) -> ContentHash {
-    let texts: Vec<(&PartName, &str)> =
-        checked.parts.iter().map(|(name, part)| (name, part.text())).collect();
-    let present = checked.when.when_true().map(present_places);
-    ContentHash::of(&(texts, present))
-}
-
-fn present_places(facts: &Facts) -> Vec<String> {
-    let present = facts.iter().filter(|(_, fact)| fact.present == Some(true));
-    present.map(|(path, _)| format!("{path:?}")).collect()
-}
--- a/crates/routes/src/rule_reader.rs
+++ b/crates/routes/src/rule_reader.rs
@@ -1,7 +1,6 @@
 //! Reads and checks one rule: its name, its test, its pool, limit, notes and refusal.
 
 use crate::environment::Environment;
-use crate::expressions::Checked;
 use crate::limit::Allowance;
 use crate::mapping::Matched;
 use crate::names;
@@ -94,9 +93,9 @@
     }
 
     /// The test; none: it is wrong, and the other parts are read knowing nothing.
-    fn when(&mut self, table: &DeTable<'_>) -> Option<Checked> {
+    fn when(&mut self, table: &DeTable<'_>) -> Option<Expression> {
         if !table.contains_key("when") {
-            return Expression::new("true", self.schema).ok().map(Checked::from);
+            return Expression::new("true", self.schema).ok();
         }
         let (when, text) = self.part(table, "when", &Facts::default(), &Type::Bool)?;
         if when.when_true().is_none() {
@@ -113,7 +112,7 @@
         key: &str,
         facts: &Facts,
         want: &Type,
-    ) -> Option<(Checked, Text)> {
+    ) -> Option<(Expression, Text)> {
         let text = table.get(key).and_then(|value| self.values.string(value))?;
         let expression = self.values.expression(&text, self.schema, facts, want)?;
         Some((expression, text))
@@ -126,7 +125,7 @@
         key: &str,
         facts: &Facts,
         fits: impl Fn(&str) -> bool,
-    ) -> BTreeMap<Arc<str>, Checked> {
+    ) -> BTreeMap<Arc<str>, Expression> {
         let mut found = BTreeMap::new();
         let Some(value) = table.get(key) else { return found };
         let Some(table) = self.values.table(value) else { return found };
@@ -146,7 +145,7 @@
         found
     }
 
-    fn pool(&mut self, table: &DeTable<'_>, facts: &Facts) -> Option<Checked> {
+    fn pool(&mut self, table: &DeTable<'_>, facts: &Facts) -> Option<Expression> {
         let (pool, text) = self.part(table, "pool", facts, &Type::Text)?;
         let Some(ways) = pool.ways() else {
             let problem = "the pool has too many ways to tell apart";
@@ -171,7 +170,7 @@
     }
 
     /// A limit: its key, and what it allows.
-    fn limit(&mut self, table: &DeTable<'_>, facts: &Facts) -> Option<(Checked, LimitSpec)> {
+    fn limit(&mut self, table: &DeTable<'_>, facts: &Facts) -> Option<(Expression, LimitSpec)> {
         let value = table.get("limit")?;
         let span = value.span();
         let limit = self.values.table(value)?;
--- a/crates/routes/src/rules.rs
+++ b/crates/routes/src/rules.rs
@@ -44,7 +44,7 @@
         shared: Arc<Mutex<Shared>>,
     ) -> RuleSet {
         let of_rules: usize = rules.iter().map(|rule| size_of::<Arc<Rule>>() + rule.heap_bytes()).sum();
-        let heap_bytes = of_rules;
+        let heap_bytes = of_rules + selector.heap_bytes();
         RuleSet { rules, pools, environment, selector, shared, cost, heap_bytes, report }
     }
 }
@@ -121,7 +121,7 @@
     pub fn first(&self, count: usize) -> Rules {
         let RuleSet { rules, pools, environment, shared, report, .. } = &*self.set;
         let rules: Vec<Arc<Rule>> = rules.iter().take(count).cloned().collect();
-        let selector = Selector::new(rules.iter().map(|rule| rule.key.facts()));
+        let selector = Selector::new(rules.iter().map(|rule| &rule.key));
         let cost = worst_request(&rules);
         let (pools, environment, shared) = (pools.clone(), environment.clone(), shared.clone());
         Rules::new(RuleSet::new(rules, pools, environment, selector, cost, *report, shared))
