--- a/crates/routes/src/rule.rs
+++ b/crates/routes/src/rule.rs
@@ -5,8 +5,12 @@
 use driftgap_expr::{Compiled, Expression, Interner, SelectKey};
 use std::collections::HashSet;
 use std::fmt;
+use std::hash::Hash;
 use std::sync::Arc;
 
+/// Bytes that the tables by which expressions are shared take for one of its own, on average: an entry for it and
+/// one for a text of its, of 24 and 16 bytes, at a load between 7/16 and 7/8.
+const TABLE_BYTES: usize = 68;
 /// Bytes that an `Arc` takes besides its value.
 const ARC_HEADER: usize = 2 * size_of::<usize>();
 
@@ -79,17 +83,29 @@
 #[derive(PartialEq, Eq, Hash)]
 pub(crate) struct Body {
     /// In the order of their evaluation.
-    pub(crate) parts: Box<[Part]>,
+    pub(crate) parts: Box<[Arc<Part>]>,
 }
 
 impl Body {
-    /// Bytes on the heap.
+    /// Bytes on the heap, with its share of the parts that others have as well.
     fn heap_bytes(&self) -> usize {
-        let parts = self.parts.iter().map(|part| size_of::<Part>() + part.expression.heap_bytes());
+        let parts = self.parts.iter().map(|part| size_of::<Arc<Part>>() + share(part, part.heap_bytes()));
         ARC_HEADER + size_of::<Body>() + parts.sum::<usize>()
     }
 }
 
+impl Part {
+    fn heap_bytes(&self) -> usize {
+        ARC_HEADER + size_of::<Part>() + self.expression.heap_bytes() + TABLE_BYTES
+    }
+}
+
+/// What each of those who hold a value has of its bytes. The table by which they share it holds it as well.
+fn share<T>(held: &Arc<T>, bytes: usize) -> usize {
+    let holders = Arc::strong_count(held).saturating_sub(1).max(1);
+    bytes.div_ceil(holders)
+}
+
 /// A rule's limit with its state.
 pub(crate) struct RuleLimit {
     pub(crate) spec: LimitSpec,
@@ -115,10 +131,8 @@
     /// though they are allocated with its first request.
     pub(crate) fn heap_bytes(&self) -> usize {
         let own = ARC_HEADER + size_of::<Rule>() + self.name.len();
-        let expressions = self.when.heap_bytes() + key_bytes(&self.key);
-        // One more holds the body: the table by which it is shared.
-        let sharing = Arc::strong_count(&self.body).saturating_sub(1).max(1);
-        own + expressions + self.body.heap_bytes().div_ceil(sharing) + self.limit_bytes()
+        let expressions = self.when.heap_bytes() + key_bytes(&self.key) + TABLE_BYTES;
+        own + expressions + share(&self.body, self.body.heap_bytes()) + self.limit_bytes()
     }
 
     fn limit_bytes(&self) -> usize {
@@ -147,6 +161,7 @@
 #[derive(Default)]
 pub(crate) struct Shared {
     pub(crate) interner: Interner,
+    parts: HashSet<Arc<Part>>,
     bodies: HashSet<Arc<Body>>,
 }
 
@@ -169,28 +184,36 @@
 
     /// What a rule does; one that does the same is shared.
     fn body(&mut self, checked: &CheckedRule) -> Arc<Body> {
-        let interner = &mut self.interner;
-        let part = |(name, part): &(PartName, Expression)| Part {
-            name: match name {
-                PartName::Note(name) => PartName::Note(interner.text(name)),
-                PartName::Term(name) => PartName::Term(interner.text(name)),
-                name => name.clone(),
-            },
-            expression: part.compile(interner),
+        let parts = checked.parts.iter().map(|(name, part)| self.part(name, part)).collect();
+        intern(&mut self.bodies, Body { parts })
+    }
+
+    fn part(&mut self, name: &PartName, checked: &Expression) -> Arc<Part> {
+        let name = match name {
+            PartName::Note(name) => PartName::Note(self.interner.text(name)),
+            PartName::Term(name) => PartName::Term(self.interner.text(name)),
+            name => name.clone(),
         };
-        let body = Body { parts: checked.parts.iter().map(part).collect() };
-        if let Some(known) = self.bodies.get(&body) {
-            return known.clone();
-        }
-        let body = Arc::new(body);
-        self.bodies.insert(body.clone());
-        body
+        let expression = checked.compile(&mut self.interner);
+        intern(&mut self.parts, Part { name, expression })
     }
 
     /// Forgets what no rule needs any more.
     pub(crate) fn sweep(&mut self) {
         self.bodies.retain(|body| Arc::strong_count(body) > 1);
         self.bodies.shrink_to_fit();
+        self.parts.retain(|part| Arc::strong_count(part) > 1);
+        self.parts.shrink_to_fit();
         self.interner.sweep();
     }
 }
+
+/// The member of a set that is equal to a value, which becomes one where there is none.
+fn intern<T: Eq + Hash>(set: &mut HashSet<Arc<T>>, value: T) -> Arc<T> {
+    if let Some(known) = set.get(&value) {
+        return known.clone();
+    }
+    let value = Arc::new(value);
+    set.insert(value.clone());
+    value
+}
--- /dev/null
+++ b/crates/routes/tests/bounds.rs
@@ -0,0 +1,94 @@
+//! How large a file of rules may be: as large as the memory that is given for it, and what is told beyond.
+
+mod common;
+
+use common::{read_on, read_with, route, routes};
+use driftgap_routes::{ReadOptions, Rules, DEFAULT_MOST_BYTES};
+
+fn within(text: &str, previous: Option<&Rules>, most_bytes: usize) -> Result<Rules, Vec<String>> {
+    read_with(text, &ReadOptions { previous, most_bytes })
+}
+
+#[test]
+fn more_rules_than_ten_thousand_are_read() {
+    let rules: String = (0..10_100)
+        .map(|i| format!("[[rule]]\nname = 'r{i}'\nwhen = 'request.path == \"/{i}\"'\n"))
+        .collect();
+    assert_eq!(read_on(&rules, None).unwrap().len(), 10_100);
+}
+
+#[test]
+fn a_file_that_is_longer_than_the_memory_is_refused_at_once() {
+    let text = routes(10);
+    let want = format!("rules.toml: the file has {} bytes, 100 are the most", text.len());
+    assert_eq!(within(&text, None, 100).unwrap_err(), [want]);
+    assert!(within(&text, None, DEFAULT_MOST_BYTES).is_ok());
+}
+
+#[test]
+fn rules_beyond_the_memory_are_refused_where_they_stand() {
+    const RULES: usize = 400;
+    let text = routes(RULES);
+    let whole = read_on(&text, None).unwrap();
+    let needed = text.len() + whole.heap_bytes();
+    assert!(within(&text, None, needed + needed / 4).is_ok());
+    let faults = within(&text, None, needed - whole.heap_bytes() / 2).unwrap_err();
+    assert_eq!(faults.len(), 1, "{faults:?}");
+    assert!(faults[0].contains("the rules up to here take more memory than there is"), "{faults:?}");
+    let line: usize = faults[0].split(':').nth(1).unwrap().parse().unwrap();
+    // About half of the rules fit.
+    assert!(line > text.lines().count() / 4 && line < text.lines().count() * 3 / 4, "{line}");
+    assert!(text.lines().nth(line - 1).unwrap().starts_with("[[rule]]"));
+}
+
+#[test]
+fn a_wholly_changed_file_counts_beside_the_rules_in_force_and_one_change_does_not() {
+    const RULES: usize = 400;
+    let text = routes(RULES);
+    let held = read_on(&text, None).unwrap();
+    let room = text.len() + held.heap_bytes() * 3 / 2;
+    assert!(within(&text, None, room).is_ok());
+    assert!(within(&text, Some(&held), room).is_ok());
+    let one = text.replace("/programmes/7/", "/programmes/seven/");
+    assert!(within(&one, Some(&held), room).is_ok());
+    let other: String = (RULES..2 * RULES).map(route).collect();
+    let faults = within(&format!("{}{other}", common::POOLS), Some(&held), room).unwrap_err();
+    assert!(faults[0].contains("of the rules in force"), "{faults:?}");
+}
+
+#[test]
+fn the_places_of_limits_count_before_any_request_meets_them() {
+    let limits = |count: usize, keys: usize| -> String {
+        let limit = |i| {
+            format!("[[rule]]\nname = 'l{i}'\nwhen = 'request.path == \"/{i}\"'\nlimit = {{ key = 'request.id.orValue(\"\")', rate = 1, keys = {keys} }}\n")
+        };
+        (0..count).map(limit).collect()
+    };
+    // 16,384 places of 16 bytes are 256 KiB.
+    assert!(read_on(&limits(200, 16_384), None).is_ok());
+    let faults = read_on(&limits(300, 16_384), None).unwrap_err();
+    assert!(faults[0].contains("fewer keys of limits"), "{faults:?}");
+    assert!(read_on(&limits(300, 64), None).is_ok());
+    let held = read_on(&limits(1, 16_384), None).unwrap();
+    assert!(held.heap_bytes() > 16_384 * 16);
+}
+
+#[test]
+fn what_cannot_be_cut_into_rules_is_parsed_as_far_as_memory_allows() {
+    let inline = |count: usize| -> String {
+        let rule = |i| format!("  {{ name = 'r{i}', when = 'request.path == \"/{i}\"' }},\n");
+        format!("rule = [\n{}]\n", (0..count).map(rule).collect::<String>())
+    };
+    assert_eq!(read_on(&inline(100), None).unwrap().len(), 100);
+    let text = inline(2_000);
+    let faults = within(&text, None, text.len() * 8).unwrap_err();
+    assert!(faults[0].contains("would be parsed in one piece"), "{faults:?}");
+    assert!(faults[0].contains("[[rule]]"), "{faults:?}");
+    // Cut into rules it passes with as much.
+    let cut: String = (0..2_000).map(|i| format!("[[rule]]\nname = 'r{i}'\n")).collect();
+    assert!(within(&cut, None, text.len() * 16).is_ok());
+    // One rule that is as long.
+    let long = format!("[[rule]]\nname = 'a'\nnotes = {{ n = '\"{}\"' }}\n", "x".repeat(300_000));
+    let faults = within(&long, None, 4 << 20).unwrap_err();
+    assert!(faults[0].contains("would be parsed in one piece"), "{faults:?}");
+}
--- /dev/null
+++ b/crates/routes/tests/common/mod.rs
@@ -0,0 +1,78 @@
+//! What tests of large and changing files share.
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use driftgap_routes::{Catalog, Effect, NoHeaders, ReadOptions, Request, Rules};
+use std::net::IpAddr;
+
+pub fn catalog() -> Catalog {
+    Catalog {
+        classes: vec![
+            ("fetch-episode".into(), Effect::Pure),
+            ("book-rebroadcast".into(), Effect::SideEffect),
+        ],
+        plans: vec!["district".into(), "city".into()],
+        most_units: 4.0,
+    }
+}
+
+/// Two pools, as the head of a file.
+pub const POOLS: &str = "[[pool]]\nname = 'dar'\nwhen = 'instance.zone == \"dar\"'\n\
+                         [[pool]]\nname = 'tanga'\nwhen = 'instance.zone == \"tanga\"'\nfallback = 'dar'\n";
+
+/// A rule that sends what is below one path to a pool.
+pub fn route(number: usize) -> String {
+    let pool = if number % 2 == 0 { "dar" } else { "tanga" };
+    format!(
+        "[[rule]]\nname = 'route-{number}'\n\
+         when = 'request.method == \"GET\" && request.path.startsWith(\"/programmes/{number}/\")'\n\
+         pool = '\"{pool}\"'\n\n"
+    )
+}
+
+/// A rule that makes a command of a request for one path.
+pub fn mapping(number: usize) -> String {
+    format!(
+        "[[rule]]\nname = 'map-{number}'\n\
+         when = 'request.method == \"GET\" && request.path == \"/episodes/{number}/audio\"'\n\
+         class = '\"fetch-episode\"'\nplan = '\"city\"'\npartner = 'request.partner.orValue(\"p\")'\n\
+         units = 'request.units.orValue(1.0)'\nid = '\"e{number}\"'\n\n"
+    )
+}
+
+/// A file of so many routes.
+pub fn routes(count: usize) -> String {
+    let rules = (0..count).map(route);
+    [POOLS.to_string()].into_iter().chain(rules).collect()
+}
+
+pub fn request(path: &str) -> Request<'_> {
+    Request {
+        protocol: "http2",
+        method: "GET",
+        path,
+        query: None,
+        host: None,
+        headers: &NoHeaders,
+        class: None,
+        plan: None,
+        partner: Some("0000000000000007"),
+        id: None,
+        units: None,
+        deadline_ms: None,
+        retry: false,
+        length: None,
+        client: IpAddr::from([127, 0, 0, 1]),
+    }
+}
+
+/// Reads a file on top of the rules in force; the lines of its faults where it is wrong.
+pub fn read_on(text: &str, previous: Option<&Rules>) -> Result<Rules, Vec<String>> {
+    let options = ReadOptions { previous, ..ReadOptions::default() };
+    read_with(text, &options)
+}
+
+/// Reads a file with these options; the lines of its faults where it is wrong.
+pub fn read_with(text: &str, options: &ReadOptions<'_>) -> Result<Rules, Vec<String>> {
+    let read = Rules::read_part(text, "rules.toml", None, &catalog(), options);
+    read.map_err(|faults| faults.into_iter().map(|fault| fault.line).collect())
+}
--- /dev/null
+++ b/crates/routes/tests/cost.rs
@@ -0,0 +1,101 @@
+//! What one request may spend on the rules: the bound that is told of a file holds for every request, and is not
+//! the sum over rules that no request reaches together.
+
+mod common;
+
+use common::{catalog, read_on, request, routes, POOLS};
+use driftgap_routes::{Explainer, Request, MOST_PATH};
+use oorandom::Rand32;
+
+/// Random files.
+const FILES: u64 = 40;
+/// Requests to each.
+const REQUESTS: usize = 60;
+
+/// Paths that begin with each other.
+const PATHS: [&str; 8] = ["/", "/a", "/a/", "/a/b", "/a/b/c", "/b", "/b/c", "/a/c"];
+const METHODS: [&str; 3] = ["GET", "POST", "PUT"];
+
+fn one_of<'a>(random: &mut Rand32, all: &[&'a str]) -> &'a str {
+    all[random.rand_range(0..all.len() as u32) as usize]
+}
+
+fn rule(random: &mut Rand32, number: usize) -> String {
+    let (path, other, method) = (one_of(random, &PATHS), one_of(random, &PATHS), one_of(random, &METHODS));
+    let when = match random.rand_range(0..7) {
+        0 => format!("request.path == \"{path}\""),
+        1 => format!("request.path.startsWith(\"{path}\")"),
+        2 => format!("request.path in [\"{path}\", \"{other}\"]"),
+        3 => format!("request.path.startsWith(\"{path}\") || request.path.startsWith(\"{other}\")"),
+        4 => format!("request.method == \"{method}\""),
+        5 => format!("request.partner.orValue(\"\") == \"{path}\""),
+        _ => format!("request.path.contains(\"{path}\")"),
+    };
+    let action = match random.rand_range(0..4) {
+        0 => "notes = { n = 'request.path + request.method' }",
+        1 => "pool = 'request.retry ? \"dar\" : \"any\"'",
+        2 => "notes = { a = '\"1\"', b = 'request.partner.orValue(\"none\")' }\npool = '\"tanga\"'",
+        _ => "limit = { key = 'request.path', rate = 100 }",
+    };
+    let go_on = random.rand_range(0..4) > 0;
+    format!("[[rule]]\nname = 'r{number}'\nwhen = '{when}'\n{action}\ngo_on = {go_on}\n")
+}
+
+/// What a request spends, each expression evaluated by itself.
+fn spent(explainer: &Explainer, request: &Request<'_>) -> u64 {
+    let reached = explainer.explain(request).into_iter().filter(|rule| !rule.ruled_out && !rule.behind);
+    reached.flat_map(|rule| rule.parts).filter_map(|(_, steps)| steps.first().map(|whole| whole.cost)).sum()
+}
+
+#[test]
+fn no_request_spends_more_than_is_told() {
+    let mut nearest = 0.0f64;
+    for seed in 0..FILES {
+        println!("seed {seed}");
+        let random = &mut Rand32::new(seed);
+        let rules: String = (0..30).map(|number| rule(random, number)).collect();
+        let text = format!("{POOLS}{rules}");
+        let explainer = Explainer::read(&text, "rules.toml", None, &catalog())
+            .unwrap_or_else(|faults| panic!("{faults:?}"));
+        let most = explainer.rules().cost();
+        for _ in 0..REQUESTS {
+            let mut path = one_of(random, &PATHS).to_string();
+            if random.rand_range(0..2) == 0 {
+                // Costs are bounded for the longest texts.
+                path.push_str(&"/a/b/c".repeat(MOST_PATH / 6));
+                path.truncate(MOST_PATH);
+            }
+            let path = &path;
+            let partner = Some(one_of(random, &PATHS));
+            let asked = Request { method: one_of(random, &METHODS), partner, ..request(path) };
+            let spent = spent(&explainer, &asked);
+            assert!(spent <= most, "{path}: {spent} of {most}\n{text}");
+            nearest = nearest.max(spent as f64 / most as f64);
+        }
+    }
+    println!("at most {nearest:.2} of the bound was spent");
+    assert!(nearest > 0.1, "{nearest}");
+}
+
+#[test]
+fn rules_that_no_request_reaches_together_are_not_added_up() {
+    let few = read_on(&routes(10), None).unwrap();
+    let many = read_on(&routes(3_000), None).unwrap();
+    assert!(many.cost() < 2 * few.cost(), "{} {}", many.cost(), few.cost());
+    // The beginnings of one path are reached together.
+    let chain = |length: usize| -> String {
+        let prefix = |i: usize| "/a".repeat(i + 1);
+        let rule = |i| {
+            format!("[[rule]]\nname = 'r{i}'\nwhen = 'request.path.startsWith(\"{}\")'\npool = '\"any\"'\ngo_on = true\n", prefix(i))
+        };
+        (0..length).map(rule).collect()
+    };
+    let (one, five) = (read_on(&chain(1), None).unwrap().cost(), read_on(&chain(5), None).unwrap().cost());
+    assert!(five >= 5 * one, "{five} {one}");
+    // Of two fields a request has both.
+    let both = format!(
+        "{}[[rule]]\nname = 'm'\nwhen = 'request.method == \"GET\"'\npool = '\"any\"'\ngo_on = true\n",
+        chain(1)
+    );
+    assert!(read_on(&both, None).unwrap().cost() > one);
+}
--- a/crates/routes/tests/takeover.rs
+++ b/crates/routes/tests/takeover.rs
@@ -1,13 +1,388 @@
-//! What a file takes over from the rules in force, and how they are replaced.
+//! What a file takes over from the rules in force: after any edits the rules decide as those of the same text
+//! read anew, and limits keep their states.
 
-use driftgap_routes::{Replaced, Rules, Ticket};
+mod common;
 
-fn can_change_threads<T: Send>() {}
+use common::{read_on, request, route, routes, POOLS};
+use driftgap_routes::{ReadReport, Replaced, Request, Router, Rules, Ticket, Verdict};
+use oorandom::Rand32;
 
-fn can_be_shared<T: Send + Sync + Clone>() {}
+/// Edits of one random history.
+const EDITS: usize = 60;
+/// Random histories.
+const HISTORIES: u64 = 12;
+
+/// The seeds of random histories: `DRIFTGAP_SEED`, or as many as there are histories.
+fn seeds() -> Vec<u64> {
+    match std::env::var("DRIFTGAP_SEED").ok().and_then(|seed| seed.parse().ok()) {
+        Some(seed) => vec![seed],
+        None => (0..HISTORIES).collect(),
+    }
+}
+
+fn below(random: &mut Rand32, most: usize) -> usize {
+    random.rand_range(0..most as u32) as usize
+}
+
+/// A rule of a random kind; `version` changes what it does.
+fn rule(random: &mut Rand32, name: usize, version: u32) -> String {
+    let path = below(random, 12);
+    let get = "request.method == \"GET\"";
+    match below(random, 8) {
+        0 => format!("[[rule]]\nname = 'n{name}'\nwhen = '{get} && request.path.startsWith(\"/p{path}/\")'\npool = '\"dar\"'\n"),
+        1 => format!("[[rule]]\nname = 'n{name}'\nwhen = 'request.path == \"/p{path}/x\"'\npool = '\"tanga\"'\ngo_on = true\n"),
+        2 => format!("# Notes.\n[[rule]]\nname = 'n{name}'\nwhen = '''\n  request.path.contains(\"{path}\") &&\n  !has(request.id)\n'''\ngo_on = true\nnotes = {{ v = '\"{version}\"', w = 'request.path' }}\n\n"),
+        3 => format!("[[rule]]\nname = 'n{name}'\nwhen = 'request.path.startsWith(\"/p{path}/y\")'\nnack = 'duration(\"{}ms\")'\n", version + 1),
+        4 => format!("  [[ rule ]] # spaced\nname = \"n{name}\"\nwhen = '{get} && request.path == \"/e/{path}\"'\nclass = '\"fetch-episode\"'\nplan = '\"city\"'\npartner = '\"p\"'\nunits = 'request.units.orValue(1.0)'\nid = '\"e{version}\"'\n"),
+        5 => format!("[[rule]]\nname = 'n{name}'\nwhen = 'request.path.startsWith(\"/p{path}\")'\ngo_on = true\n[rule.limit]\nkey = 'request.partner.orValue(\"\")'\nrate = {}\nburst = 2\n", version + 1),
+        6 => format!("[['rule']]\nname = 'n{name}'\nwhen = 'request.path.endsWith(\"{path}\")'\ngo_on = true\nlimit = {{ key = '\"all\"', at_once = {}, keys = 8 }}\n", version + 1),
+        _ => format!("[[rule]]\r\nname = 'n{name}'\r\nwhen = 'request.path in [\"/p{path}/x\", \"/e/{version}\"]'\r\ngo_on = true\r\n[rule.notes]\r\nmark = '\"[[rule]]\"'\r\n"),
+    }
+}
+
+/// A header that ends too early.
+const TORN_HEADER: &str = "[rule\n";
+
+/// Ways in which a rule may be wrong.
+fn broken(random: &mut Rand32, name: usize) -> String {
+    let wrong = [
+        "pool = '\"dodoma\"'",
+        "pool = '\"dar'",
+        "when = 'request.path.startsWth(\"/a\")'",
+        "when = 'false'",
+        "poool = '\"dar\"'",
+        "limit = { key = 'request.partner', rate = -1 }",
+        "name = 'again'",
+        "pool = [",
+        "pool = '''\"dar\"",
+        "pool = \"\\q\"",
+        "= 1",
+        "[rule.pool]\nx = 1\n[rule.pool]",
+        TORN_HEADER,
+        "nack = 1 ]",
+    ];
+    let wrong = wrong[below(random, wrong.len())];
+    format!("[[rule]]\nname = 'b{name}'\n{wrong}\n")
+}
+
+/// A file that is edited.
+struct File {
+    head: String,
+    tail: String,
+    rules: Vec<String>,
+    names: usize,
+}
+
+impl File {
+    fn new(random: &mut Rand32) -> File {
+        let mut file = File { head: POOLS.to_string(), tail: String::new(), rules: Vec::new(), names: 0 };
+        for _ in 0..20 {
+            file.insert(random);
+        }
+        file
+    }
+
+    fn text(&self) -> String {
+        // A part of the head stands between the rules.
+        let (first, second) = self.rules.split_at(self.rules.len() / 2);
+        [&self.head[..], &first.concat(), &self.tail, &second.concat()].concat()
+    }
+
+    fn insert(&mut self, random: &mut Rand32) {
+        let at = below(random, self.rules.len() + 1);
+        self.names += 1;
+        let rule = rule(random, self.names, 0);
+        self.rules.insert(at, rule);
+    }
+
+    fn edit(&mut self, random: &mut Rand32) {
+        let at = below(random, self.rules.len().max(1));
+        match below(random, 10) {
+            0..=2 => self.insert(random),
+            3 if self.rules.len() > 5 => drop(self.rules.remove(at)),
+            4 | 5 if at < self.rules.len() => {
+                self.names += 1;
+                let version = random.rand_range(0..3);
+                self.rules[at] = rule(random, self.names, version);
+            }
+            6 if at < self.rules.len() => {
+                let other = below(random, self.rules.len());
+                self.rules.swap(at, other);
+            }
+            7 => self.rules.insert(at.min(self.rules.len()), broken(random, self.names)),
+            8 => {
+                let tails = [
+                    "",
+                    "[effects.paths]\n'/book/' = 'side_effect'\n",
+                    "[cost]\nexpression = 9000\n",
+                    "x = 1\n",
+                ];
+                self.tail = tails[below(random, tails.len())].to_string();
+            }
+            9 if !self.rules.is_empty() => {
+                // The same rule twice.
+                let rule = self.rules[at].clone();
+                self.rules.push(rule);
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes out what is wrong.
+    fn mend(&mut self) {
+        self.rules.retain(|rule| !rule.contains("name = 'b"));
+        let mut seen = std::collections::HashSet::new();
+        self.rules.retain(|rule| seen.insert(rule.clone()));
+        self.tail.clear();
+    }
+}
+
+fn random_request(random: &mut Rand32) -> (String, bool) {
+    let part = below(random, 12);
+    let path = match below(random, 4) {
+        0 => format!("/p{part}/x"),
+        1 => format!("/p{part}/y/z"),
+        2 => format!("/e/{part}"),
+        _ => format!("/{part}"),
+    };
+    (path, below(random, 2) == 0)
+}
+
+fn decided(verdict: Verdict) -> String {
+    match verdict {
+        Verdict::Go(route) => {
+            format!("{:?} {:x} {:?} {}", route.command, route.pools, route.notes, route.tickets.len())
+        }
+        refused => format!("{refused:?}"),
+    }
+}
+
+/// What two routers decide about the same requests; all limits are full again at `now`.
+fn decide_alike(random: &mut Rand32, taken: &Rules, anew: &Rules, now: f64) {
+    let (mut taken, mut anew) = (Router::new(taken.clone()), Router::new(anew.clone()));
+    for router in [&mut taken, &mut anew] {
+        router.ready([u64::MAX].into_iter());
+    }
+    for _ in 0..40 {
+        let (path, get) = random_request(random);
+        let request = Request { method: if get { "GET" } else { "POST" }, ..request(&path) };
+        assert_eq!(decided(taken.route(&request, now)), decided(anew.route(&request, now)), "{path}");
+    }
+}
+
+#[test]
+fn after_any_edits_rules_decide_as_those_of_the_same_text_read_anew() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        let random = &mut Rand32::new(seed);
+        let mut file = File::new(random);
+        let mut held = read_on(&file.text(), None).unwrap_or_else(|faults| panic!("{faults:?}"));
+        let (mut right, mut wrong, mut taken_over) = (0, 0, 0);
+        for step in 0..EDITS {
+            for _ in 0..1 + below(random, 3) {
+                file.edit(random);
+            }
+            if below(random, 3) == 0 {
+                file.mend();
+            }
+            let text = file.text();
+            match (read_on(&text, Some(&held)), read_on(&text, None)) {
+                (Ok(taken), Ok(anew)) => {
+                    decide_alike(random, &taken, &anew, 1e7 * (step + 1) as f64);
+                    let figures = |rules: &Rules| (rules.len(), rules.cost(), rules.unindexed());
+                    assert_eq!(figures(&taken), figures(&anew));
+                    let report = taken.report();
+                    assert_eq!(report.taken_over + report.compiled, taken.len());
+                    assert_eq!(anew.report(), ReadReport { taken_over: 0, compiled: anew.len() });
+                    taken_over += report.taken_over;
+                    (held, right) = (taken, right + 1);
+                }
+                (Err(taken), Err(anew)) => {
+                    assert_eq!(taken, anew, "{text}");
+                    wrong += 1;
+                }
+                (taken, anew) => panic!("{taken:?} {anew:?}\n{text}"),
+            }
+        }
+        println!("{right} right, {wrong} wrong, {taken_over} rules taken over");
+        assert!(right > 5 && wrong > 5 && taken_over > 50, "{right} {wrong} {taken_over}");
+    }
+}
+
+/// The same file in a spelling that is parsed in one piece: a key with an escape, as long as the plain one.
+fn parsed_whole(text: &str) -> String {
+    text.replacen("[[pool]]", "[[\"p\\u006fol\"]]", 1)
+}
+
+#[test]
+fn faults_are_those_of_the_file_parsed_in_one_piece() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        let random = &mut Rand32::new(seed);
+        let mut faulty = 0;
+        let mut file = File::new(random);
+        for _ in 0..EDITS {
+            file.edit(random);
+            if below(random, 4) == 0 {
+                file.mend();
+            }
+            let text = file.text();
+            let (cut, whole) = (read_on(&text, None), read_on(&parsed_whole(&text), None));
+            match (cut, whole) {
+                (Ok(cut), Ok(whole)) => assert_eq!(cut.len(), whole.len()),
+                (Err(cut), Err(whole)) => {
+                    faulty += 1;
+                    if text.contains(TORN_HEADER) {
+                        // Behind a torn header the parser takes keys for those of the table before: in one
+                        // piece it finds more of them twice. What is wrong itself is told alike.
+                        assert_eq!(cut[0], whole[0]);
+                        assert!(cut.iter().all(|fault| whole.contains(fault)), "{cut:#?} {whole:#?}\n{text}");
+                    } else {
+                        assert_eq!(cut, whole, "{text}");
+                    }
+                }
+                (cut, whole) => panic!("{cut:?} {whole:?}\n{text}"),
+            }
+        }
+        assert!(faulty > 5, "{faulty}");
+    }
+}
+
+/// Puts what a file says in force, on top of the rules that are.
+fn replace(router: &mut Router, text: &str, now: f64) -> ReadReport {
+    let rules = read_on(text, Some(router.rules())).unwrap_or_else(|faults| panic!("{faults:?}"));
+    let report = rules.report();
+    drop(router.replace(rules, now, 3000.0).expect("bits for the pools"));
+    report
+}
+
+#[test]
+fn a_change_costs_what_changed() {
+    const RULES: usize = 300;
+    let text = routes(RULES);
+    let mut router = Router::new(read_on(&text, None).unwrap());
+    let taken = |taken_over, compiled| ReadReport { taken_over, compiled };
+    assert_eq!(router.rules().report(), taken(0, RULES));
+    assert_eq!(replace(&mut router, &text, 0.0), taken(RULES, 0));
+    let one = text.replace("/programmes/7/", "/programmes/seven/");
+    assert_eq!(replace(&mut router, &one, 0.0), taken(RULES - 1, 1));
+    let appended = format!("{one}\n\n{}", route(RULES));
+    assert_eq!(replace(&mut router, &appended, 0.0), taken(RULES, 1));
+    // The order is none of a rule's own; the one that had changed is as before again.
+    let reversed: String = (0..RULES).rev().map(route).collect();
+    assert_eq!(replace(&mut router, &format!("{POOLS}{reversed}"), 0.0), taken(RULES - 1, 1));
+    // Another test of a pool changes no rule.
+    let pools = text.replace("instance.zone ==", "instance.name ==");
+    assert_eq!(replace(&mut router, &pools, 0.0), taken(RULES, 0));
+    // What every rule is judged by: another pool, other effects, another ceiling of an expression.
+    for head in [
+        "[[pool]]\nname = 'mbeya'\nwhen = 'true'\n",
+        "[effects.paths]\n'/bookings/' = 'side_effect'\n",
+        "[cost]\nexpression = 5000\n",
+    ] {
+        assert_eq!(replace(&mut router, &format!("{head}{text}"), 0.0), taken(0, RULES), "{head}");
+        assert_eq!(replace(&mut router, &text, 0.0), taken(0, RULES));
+    }
+    // The ceiling of a request is none of a rule.
+    assert_eq!(replace(&mut router, &format!("[cost]\nrequest = 100000\n{text}"), 0.0), taken(RULES, 0));
+}
+
+#[test]
+fn rules_in_one_piece_are_taken_over_with_the_whole_file_only() {
+    let text = "rule = [{ name = 'a', nack = 'duration(\"1s\")' }, { name = 'b' }]\n";
+    let first = read_on(text, None).unwrap();
+    assert_eq!(first.report(), ReadReport { taken_over: 0, compiled: 2 });
+    let same = read_on(text, Some(&first)).unwrap();
+    assert_eq!(same.report(), ReadReport { taken_over: 2, compiled: 0 });
+    let other = read_on(&text.replace("'b'", "'c'"), Some(&first)).unwrap();
+    assert_eq!(other.report(), ReadReport { taken_over: 0, compiled: 2 });
+}
+
+#[test]
+fn a_rule_that_stands_twice_is_refused_where_it_stands_again() {
+    let text = routes(3);
+    let held = read_on(&text, None).unwrap();
+    let twice = format!("{text}{}", route(1));
+    let line = 1 + text.lines().count();
+    let want = format!("rules.toml:{}:8: there is a rule \"route-1\" already", line + 1);
+    assert_eq!(read_on(&twice, Some(&held)).unwrap_err(), [want]);
+}
+
+#[test]
+fn a_file_whose_head_says_other_things_of_the_rules_is_refused() {
+    let section = "[[rule]]\nname = 'a'\n";
+    let held = read_on(section, None).unwrap();
+    let wrong = [
+        "rule = 1\n",
+        "rule = []\n",
+        "rule.x = 1\n",
+        "[rule]\nname = 'b'\n",
+        "[rule.limit]\nkey = '\"k\"'\n",
+        "[[\"rul\\u0065\"]]\nname = 'a'\n",
+    ];
+    for head in wrong {
+        for text in [format!("{head}{section}"), format!("{section}[cost]\n{head}")] {
+            assert!(read_on(&text, Some(&held)).is_err(), "{text}");
+        }
+    }
+    // A sub-table that stands apart from its rule is that rule's all the same.
+    let apart = format!("{section}[cost]\nrequest = 1000\n[rule.notes]\nn = '\"1\"'\n");
+    let mut router = Router::new(read_on(&apart, Some(&held)).unwrap());
+    let Verdict::Go(way) = router.route(&request("/"), 0.0) else { panic!("refused") };
+    assert_eq!(way.notes, [("n".to_string(), "1".to_string())]);
+}
+
+/// A rule that lets one partner through once in 1000 s.
+const LIMIT: &str = "[[rule]]\nname = 'limit'\ngo_on = true\n\
+                     limit = { key = 'request.partner.orValue(\"\")', rate = 0.001, burst = 1, keys = 64 }\n";
+/// A rule that lets one request through at once.
+const AT_ONCE: &str = "[[rule]]\nname = 'at-once'\nwhen = 'request.path == \"/once\"'\ngo_on = true\n\
+                       limit = { key = '\"all\"', at_once = 1 }\n";
+
+#[test]
+fn limits_keep_their_states_whatever_else_is_edited() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        let random = &mut Rand32::new(seed);
+        let mut file = File::new(random);
+        file.rules.retain(|rule| !rule.contains("limit") && !rule.contains("nack"));
+        let with =
+            |file: &File, limit: &str| format!("{POOLS}{AT_ONCE}{}{limit}", file.text().replace(POOLS, ""));
+        let mut router = Router::new(read_on(&with(&file, LIMIT), None).unwrap());
+        router.ready([u64::MAX].into_iter());
+        let other = Request { partner: Some("other"), ..request("/once") };
+        let Verdict::Go(held) = router.route(&other, 0.0) else { panic!("refused at first") };
+        assert_eq!(held.tickets.len(), 1);
+        assert!(matches!(router.route(&request("/none"), 0.0), Verdict::Go(_)));
+        for _ in 0..20 {
+            file.edit(random);
+            file.rules.retain(|rule| !rule.contains("limit") && !rule.contains("nack"));
+            file.mend();
+            // The rule itself is read anew now and then, by a comment in it or by other effects.
+            let comment = if below(random, 3) == 0 { "# again\n" } else { "" };
+            if below(random, 4) == 0 {
+                file.tail = format!("[effects.paths]\n'/{}/' = 'token'\n", below(random, 9));
+            }
+            replace(&mut router, &with(&file, &format!("{LIMIT}{comment}")), 1.0);
+            router.ready([u64::MAX].into_iter());
+            let refused = router.route(&request("/none"), 1.0);
+            assert!(matches!(&refused, Verdict::Nack { by, .. } if by == "limit"), "{refused:?}");
+            let refused = router.route(&request("/once"), 1.0);
+            assert!(matches!(&refused, Verdict::Nack { by, .. } if by == "at-once"), "{refused:?}");
+        }
+        drop(held);
+        // Another rate is another limit, which begins anew.
+        let faster = LIMIT.replace("rate = 0.001", "rate = 0.002");
+        replace(&mut router, &with(&file, &faster), 1.0);
+        router.ready([u64::MAX].into_iter());
+        assert!(matches!(router.route(&request("/once"), 1.0), Verdict::Go(_)));
+    }
+}
 
 #[test]
 fn rules_are_read_and_dropped_on_other_threads_than_the_serving_one() {
+    fn can_change_threads<T: Send>() {}
+    fn can_be_shared<T: Send + Sync + Clone>() {}
     can_be_shared::<Rules>();
     can_change_threads::<Replaced>();
     can_change_threads::<Ticket>();
