--- a/src/check.rs
+++ b/src/check.rs
@@ -82,8 +82,9 @@
             note(&path.display().to_string(), &e);
         }
     }
-    if let (Some(rules), Some(config)) = (Source::of(&operator), &config) {
-        for fault in rules.read(&config.platform).err().unwrap_or_default() {
+    if let Some(config) = &config {
+        let rules = Source::of(&operator, config.memory_mb).map(|rules| rules.read(&config.platform));
+        for fault in rules.and_then(Result::err).unwrap_or_default() {
             note("routes", &fault);
         }
     }
--- a/src/hub.rs
+++ b/src/hub.rs
@@ -12,7 +12,7 @@
 use crate::plugin::{Plugin, Wish};
 use crate::settings::{Config, Platform};
 use driftgap_operations::{Ban, Bans, Door, Way};
-use driftgap_routes::{Instance, Request, Router, Rules, Ticket, TooSoon, Verdict, ALL};
+use driftgap_routes::{Instance, Replaced, Request, Router, Rules, Ticket, TooSoon, Verdict, ALL};
 use std::cell::{Cell, OnceCell, RefCell, RefMut};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::{Rc, Weak};
@@ -400,19 +400,31 @@
         format!("r{:x}-{:x}", self.started as u64, self.ids.get())
     }
 
-    /// Puts rules in force. Commands under way end under those that they began with.
+    /// The rules in force.
+    pub fn rules(&self) -> Option<Rules> {
+        self.router.borrow().as_ref().map(|router| router.rules().clone())
+    }
+
+    /// Puts rules in force; what they replace is to be dropped on another thread. Commands under way end under
+    /// those that they began with.
     ///
     /// # Errors
     /// Those still need too many pools; the old rules stay.
-    pub fn put_rules(&self, rules: Rules) -> Result<(), TooSoon> {
+    pub fn put_rules(&self, rules: Rules) -> Result<Option<Replaced>, TooSoon> {
         let longest = self.platform.module.classes.iter().map(|c| 1e3 * c.deadline).fold(0.0, f64::max);
-        match &mut *self.router.borrow_mut() {
-            Some(router) => router.replace(rules, self.clock.now(), longest)?,
-            none => *none = Some(Router::new(rules)),
+        let replaced = match &mut *self.router.borrow_mut() {
+            Some(router) => Some(router.replace(rules, self.clock.now(), longest)?),
+            none => {
+                *none = Some(Router::new(rules));
+                None
+            }
+        };
+        // Without a new pool, every instance has the pools already that it would be told.
+        if replaced.as_ref().is_none_or(Replaced::has_new_pools) {
+            let listed = self.listed.borrow().values().cloned().collect();
+            self.names(ListKind::Delta, listed);
         }
-        let listed = self.listed.borrow().values().cloned().collect();
-        self.names(ListKind::Delta, listed);
-        Ok(())
+        Ok(replaced)
     }
 
     /// Ready instances by pool, and evaluations of rules that failed.
--- a/src/node.rs
+++ b/src/node.rs
@@ -162,10 +162,11 @@
             }
         };
         let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
+        let (taken_over, bytes) = (rules.report().taken_over, rules.heap_bytes());
         match self.hub.put_rules(rules) {
             Ok(replaced) => {
                 retired.leave(replaced);
-                tracing::info!(rules = count, cost, unindexed, "rules replaced");
+                tracing::info!(rules = count, taken_over, cost, unindexed, bytes, "rules replaced");
                 Some(text)
             }
             Err(e) => {
@@ -310,14 +311,14 @@
                     hand_in(Kind::Rules, text.into_bytes(), false);
                 }
                 if let Some(rules) = &mut rules {
-                    rules.resume();
+                    rules.resume(node.hub.rules());
                 }
                 continue;
             }
         }
         node.reload(&path, &mut held);
         if let Some(rules) = &mut rules {
-            rules.request();
+            rules.request(node.hub.rules());
         }
         if let Some(inventory) = &mut inventory {
             match node.load(inventory) {
@@ -425,10 +426,10 @@
         spawn_local(obey(hub.clone(), group.view()));
     }
     let mut rules = None;
-    if let Some(source) = Source::of(&operator) {
+    if let Some(source) = Source::of(&operator, memory_mb) {
         let text = source.text();
         let catalog = catalog(hub.platform());
-        let mut read = text.clone().and_then(|text| source.judge(&text, &catalog));
+        let mut read = text.clone().and_then(|text| source.judge(&text, &catalog, None));
         let mut text = text.unwrap_or_default();
         if let (Err(faults), Some(group)) = (&read, &group) {
             let Some(held) = unless_stopped(&mut term, group.document(Kind::Rules)).await else {
@@ -436,7 +437,7 @@
             };
             if let Some(held) = held {
                 let good = String::from_utf8_lossy(&held.bytes).to_string();
-                if let Ok(rules) = source.judge(&good, &catalog) {
+                if let Ok(rules) = source.judge(&good, &catalog, None) {
                     let fault = faults.first().map(|f| &f.line);
                     tracing::error!(fault, number = held.number, "serves the group's last good rules");
                     (read, text) = (Ok(rules), good);
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -7,32 +7,44 @@
 use crate::core::{BadCommand, Command};
 use crate::operator::Operator;
 use crate::settings::Platform;
-use driftgap_routes::{Catalog, Effect as RuleEffect, Fault, Headers, Mapped, Request, Rules};
+use driftgap_routes::{Catalog, Effect as RuleEffect, Fault, Headers, Mapped, ReadOptions, Request, Rules};
 use http::HeaderMap;
 use std::net::IpAddr;
 use std::path::PathBuf;
 
+/// The part of the memory that rules may take: the file's text, the rules in force and those that a reload compiles
+/// anew, all together. Commands and what is under way between clients and instances may take three quarters.
+pub const MEMORY_SHARE: f64 = 1.0 / 6.0;
+
 /// Where rules are read from.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Source {
     path: PathBuf,
     /// The table of the file that holds them; none: the file holds nothing else.
     part: Option<&'static str>,
+    /// Bytes that the file's text, the rules in force and those that are compiled anew may take together.
+    most_bytes: usize,
 }
 
 impl Source {
-    /// The operator's rules, if there are any.
-    pub fn of(operator: &Operator) -> Option<Source> {
+    /// The operator's rules, if there are any, for an ingress with so much memory.
+    pub fn of(operator: &Operator, memory_mb: f64) -> Option<Source> {
         let routes = operator.routes.as_ref()?;
-        Some(match &routes.file {
-            Some(file) => Source { path: operator.folder.join(file), part: None },
-            None => Source { path: operator.path.clone(), part: Some("routes") },
-        })
+        let (path, part) = match &routes.file {
+            Some(file) => (operator.folder.join(file), None),
+            None => (operator.path.clone(), Some("routes")),
+        };
+        Some(Source { path, part, most_bytes: most_bytes(memory_mb) })
     }
 
-    /// A file of rules by itself.
-    pub fn file(path: PathBuf) -> Source {
-        Source { path, part: None }
+    /// A file of rules by itself, for an ingress with so much memory.
+    pub fn file(path: PathBuf, memory_mb: f64) -> Source {
+        Source { path, part: None, most_bytes: most_bytes(memory_mb) }
+    }
+
+    /// Bytes that rules may take while they are read.
+    pub fn most_bytes(&self) -> usize {
+        self.most_bytes
     }
 
     /// Reads them.
@@ -40,7 +52,7 @@
     /// # Errors
     /// Every fault of theirs.
     pub fn read(&self, platform: &Platform) -> Result<Rules, Vec<Fault>> {
-        self.judge(&self.text()?, &catalog(platform))
+        self.judge(&self.text()?, &catalog(platform), None)
     }
 
     /// The file's text.
@@ -54,15 +66,27 @@
         })
     }
 
-    /// Rules by their text.
+    /// Rules by their text; those that are in force already are taken over.
     ///
     /// # Errors
     /// Every fault of theirs.
-    pub fn judge(&self, text: &str, catalog: &Catalog) -> Result<Rules, Vec<Fault>> {
-        Rules::read_part(text, &self.path.display().to_string(), self.part, catalog)
+    pub fn judge(
+        &self,
+        text: &str,
+        catalog: &Catalog,
+        previous: Option<&Rules>,
+    ) -> Result<Rules, Vec<Fault>> {
+        let file = self.path.display().to_string();
+        let options = ReadOptions { previous, most_bytes: self.most_bytes };
+        Rules::read_part(text, &file, self.part, catalog, &options)
     }
 }
 
+/// Bytes that rules may take, out of so much memory for the ingress.
+fn most_bytes(memory_mb: f64) -> usize {
+    (memory_mb * 1e6 * MEMORY_SHARE) as usize
+}
+
 /// What rules are judged by.
 pub fn catalog(platform: &Platform) -> Catalog {
     let effect = |effect| match effect {
--- a/src/rule_reload.rs
+++ b/src/rule_reload.rs
@@ -70,9 +70,9 @@
         RuleReload { source, catalog, reading: None, asked_again: false, last: None }
     }
 
-    /// Has the file read as it is now. During a reading, which may have seen an earlier content, this leads to one
-    /// more after it, however often it is called.
-    pub fn request(&mut self) {
+    /// Has the file read as it is now; what the rules in force have of it is taken over. During a reading, which
+    /// may have seen an earlier content, this leads to one more after it, however often it is called.
+    pub fn request(&mut self, in_force: Option<Rules>) {
         if self.reading.is_some() {
             self.asked_again = true;
             return;
@@ -81,7 +81,7 @@
         self.reading = Some(told);
         let (source, catalog, last) = (self.source.clone(), self.catalog.clone(), self.last.take());
         let thread = thread::Builder::new().name(THREAD_NAME.into());
-        match thread.spawn(move || read(&source, &catalog, last, tell)) {
+        match thread.spawn(move || read(&source, &catalog, in_force, last, tell)) {
             Ok(thread) => self.last = Some(thread),
             Err(error) => {
                 let (tell, told) = oneshot::channel();
@@ -103,10 +103,10 @@
     }
 
     /// Begins the reading that was asked for during the last one, if any was. To be called once what the last one
-    /// brought has been dealt with.
-    pub fn resume(&mut self) {
+    /// brought has been dealt with, with the rules that are in force then.
+    pub fn resume(&mut self, in_force: Option<Rules>) {
         if std::mem::take(&mut self.asked_again) {
-            self.request();
+            self.request(in_force);
         }
     }
 }
@@ -115,6 +115,7 @@
 fn read(
     source: &Source,
     catalog: &Catalog,
+    in_force: Option<Rules>,
     last: Option<JoinHandle<()>>,
     tell: oneshot::Sender<Result<Reading, ReloadError>>,
 ) {
@@ -123,7 +124,9 @@
         let _ = last.join();
     }
     let (retire, retired) = mpsc::channel();
-    let result = source.text().and_then(|text| Ok((source.judge(&text, catalog)?, text)));
+    let result = source.text().and_then(|text| Ok((source.judge(&text, catalog, in_force.as_ref())?, text)));
+    // Whoever lets go of rules last frees them: that is this thread, as it holds them until the end.
+    let read = result.as_ref().ok().map(|(rules, _)| rules.clone());
     let result = result
         .map(move |(rules, text)| Reading { rules, text, retired: Retired(retire) })
         .map_err(|faults| log(&faults));
@@ -131,6 +134,7 @@
     let _ = tell.send(result);
     // Until the serving thread has let go of its end.
     retired.iter().for_each(drop);
+    drop((in_force, read));
 }
 
 /// Logs each fault: thousands of lines would hold the serving thread.
