--- a/crates/expr/src/constant.rs
+++ b/crates/expr/src/constant.rs
@@ -8,7 +8,7 @@
 use ipnet::IpNet;
 use rapidhash::{RapidHashMap, RapidHashSet};
 use regex::{Regex, RegexBuilder};
-use std::hash::{Hash, Hasher};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::mem::{discriminant, size_of};
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -137,14 +137,23 @@
             Const::Text(v) => v.hash(state),
             Const::Ip(v) => v.hash(state),
             Const::List(list) => list.items.hash(state),
-            // Their order is not told: what is equal has the same size.
-            Const::Map(map) => map.entries.len().hash(state),
-            Const::TextSet(set) => set.len().hash(state),
-            Const::IntSet(set) => set.len().hash(state),
+            Const::Map(map) => unordered_hash(map.entries.iter()).hash(state),
+            Const::TextSet(set) => unordered_hash(set.iter()).hash(state),
+            Const::IntSet(set) => unordered_hash(set.iter()).hash(state),
         }
     }
 }
 
+/// One hash for all orders of some items.
+fn unordered_hash(items: impl Iterator<Item: Hash>) -> u64 {
+    let hash = |item| {
+        let mut hasher = DefaultHasher::new();
+        Hash::hash(&item, &mut hasher);
+        hasher.finish()
+    };
+    items.map(hash).fold(0, u64::wrapping_add)
+}
+
 /// What a step of the machine refers to by number.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Operand {
--- a/crates/expr/src/interner.rs
+++ b/crates/expr/src/interner.rs
@@ -34,6 +34,11 @@
         self.known_text(text).unwrap_or_else(|| self.add_text(text.clone()))
     }
 
+    /// How often the one copy of a text is held; 0 where there is none yet.
+    pub(crate) fn holders(&self, text: &str) -> usize {
+        self.texts.get(text).map_or(0, Arc::strong_count)
+    }
+
     fn known_text(&self, text: &str) -> Option<Arc<str>> {
         self.texts.get(text).cloned()
     }
--- a/crates/expr/src/select_key.rs
+++ b/crates/expr/src/select_key.rs
@@ -3,12 +3,16 @@
 use crate::facts::{Fact, Facts, Path, Texts};
 use crate::interner::Interner;
 use crate::schema::FieldId;
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// A test that could be found by more texts than this is always looked at.
 const MOST_TEXTS: usize = 4096;
 
+/// A text that is held less often than this is about as good as one that only this test has.
+const FEW_HOLDERS: usize = 32;
+
 /// What must hold of an input for a test to be true at all.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SelectKey {
@@ -46,6 +50,14 @@
         let useful = texts.len() <= MOST_TEXTS && shortest > 0;
         useful.then_some(Candidate { field: *field, whole, texts, shortest })
     }
+
+    /// What the best candidate has most of. Texts that few tests have tell most apart, then long ones: a path
+    /// does, a method or the one host of all tests does not. How many tests have a text is told by its holders
+    /// so far.
+    fn rank(&self, interner: &Interner) -> impl Ord {
+        let holders = self.texts.iter().map(|text| interner.holders(text)).max().unwrap_or(0);
+        (Reverse(holders.max(FEW_HOLDERS)), self.shortest)
+    }
 }
 
 impl SelectKey {
@@ -53,8 +65,7 @@
     pub(crate) fn new(facts: Option<&Facts>, interner: &mut Interner) -> SelectKey {
         let Some(facts) = facts else { return SelectKey::Never };
         let candidates = facts.iter().filter_map(|(path, fact)| Candidate::new(path, fact));
-        // Long texts tell most apart: a path does, a method does not.
-        let Some(best) = candidates.max_by_key(|candidate| candidate.shortest) else {
+        let Some(best) = candidates.max_by_key(|candidate| candidate.rank(interner)) else {
             return SelectKey::Always;
         };
         let texts: Vec<Arc<str>> = best.texts.iter().map(|text| interner.shared_text(text)).collect();
--- a/crates/expr/src/text_index.rs
+++ b/crates/expr/src/text_index.rs
@@ -2,6 +2,7 @@
 //! that finds the entries whose texts are prefixes of a text. A look-up takes time by the length of the text
 //! and the entries found, however many entries there are.
 
+use hashbrown::{hash_table, HashTable};
 use rapidhash::v3::rapidhash_v3;
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
@@ -21,59 +22,42 @@
     next: u32,
 }
 
-/// A place of the hash table: part of the hash, and the first entry of a text.
-#[derive(Clone, Copy, Debug)]
-struct Slot {
-    check: u32,
-    first: u32,
-}
-
-const EMPTY: Slot = Slot { check: 0, first: NONE };
-
-/// An open-addressing hash table with linear probing. Entries of equal texts are chained in their order.
+/// A hash table from texts to entries. Entries of equal texts are chained in their order.
 #[derive(Debug)]
 struct Table {
     entries: Box<[Entry]>,
-    slots: Box<[Slot]>,
+    /// The number of each chain's first entry, by the hash of its text.
+    chains: HashTable<u32>,
 }
 
 impl Table {
     fn new(texts: Vec<(Arc<str>, u32)>, hash: impl Fn(&[u8]) -> u64) -> Table {
         let entry = |(text, value)| Entry { text, value, next: NONE };
-        let entries: Box<[Entry]> = texts.into_iter().map(entry).collect();
-        // A quarter of the slots stays free at least: every search ends.
-        let slots = vec![EMPTY; entries.len() + entries.len() / 3 + 1].into();
-        let mut table = Table { entries, slots };
+        let mut entries: Box<[Entry]> = texts.into_iter().map(entry).collect();
+        let mut chains = HashTable::with_capacity(entries.len());
         // From the last on, so that each chain leads from the first to the last.
-        for number in (0..table.entries.len()).rev() {
-            table.insert(number, hash(table.entries[number].text.as_bytes()));
-        }
-        table
-    }
-
-    fn insert(&mut self, number: usize, hash: u64) {
-        let at = self.search(self.entries[number].text.as_bytes(), hash);
-        self.entries[number].next = self.slots[at].first;
-        self.slots[at] = Slot { check: check(hash), first: number as u32 };
-    }
-
-    /// The slot of a text, or the free one where it would be.
-    fn search(&self, text: &[u8], hash: u64) -> usize {
-        let mut at = (((hash >> 32) * self.slots.len() as u64) >> 32) as usize;
-        loop {
-            let slot = self.slots[at];
-            let found =
-                || slot.check == check(hash) && self.entries[slot.first as usize].text.as_bytes() == text;
-            if slot.first == NONE || found() {
-                return at;
+        for number in (0..entries.len()).rev() {
+            let text = entries[number].text.as_bytes();
+            let same = |first: &u32| entries[*first as usize].text.as_bytes() == text;
+            let rehash = |first: &u32| hash(entries[*first as usize].text.as_bytes());
+            match chains.entry(hash(text), same, rehash) {
+                hash_table::Entry::Occupied(mut first) => {
+                    entries[number].next = std::mem::replace(first.get_mut(), number as u32);
+                }
+                hash_table::Entry::Vacant(place) => {
+                    place.insert(number as u32);
+                }
             }
-            at = if at + 1 == self.slots.len() { 0 } else { at + 1 };
         }
+        // Where many entries have one text, there are fewer chains than were made room for.
+        chains.shrink_to_fit(|first| hash(entries[*first as usize].text.as_bytes()));
+        Table { entries, chains }
     }
 
     /// The numbers of a text, in order.
     fn find(&self, text: &[u8], hash: u64) -> impl Iterator<Item = u32> + '_ {
-        let mut next = self.slots[self.search(text, hash)].first;
+        let same = |first: &u32| self.entries[*first as usize].text.as_bytes() == text;
+        let mut next = self.chains.find(hash, same).copied().unwrap_or(NONE);
         std::iter::from_fn(move || {
             let entry = self.entries.get(next as usize)?;
             next = entry.next;
@@ -87,14 +71,10 @@
 
     /// Bytes on the heap, the texts apart.
     fn heap_bytes(&self) -> usize {
-        self.entries.len() * size_of::<Entry>() + self.slots.len() * size_of::<Slot>()
+        self.entries.len() * size_of::<Entry>() + self.chains.allocation_size()
     }
 }
 
-fn check(hash: u64) -> u32 {
-    hash as u32
-}
-
 /// Numbers by whole texts.
 #[derive(Debug)]
 pub(crate) struct ExactIndex(Table);
--- a/crates/expr/tests/compiled.rs
+++ b/crates/expr/tests/compiled.rs
@@ -124,6 +124,21 @@
     }
 }
 
+#[test]
+fn sets_and_maps_are_shared_whatever_the_order_they_are_written_in() {
+    let mut interner = Interner::new();
+    for (a, b) in [
+        ("request.method in ['GET', 'HEAD', 'PUT']", "request.method in ['PUT', 'GET', 'HEAD']"),
+        ("request.size in [1, 2, 3]", "request.size in [3, 1, 2]"),
+        (
+            "{'GET': 'a', 'PUT': 'b'}[request.method].orValue('c')",
+            "{'PUT': 'b', 'GET': 'a'}[request.method].orValue('c')",
+        ),
+    ] {
+        assert!(compiled(a, &mut interner).same(&compiled(b, &mut interner)), "{a} and {b}");
+    }
+}
+
 #[test]
 fn texts_are_shared() {
     let mut interner = Interner::new();
--- a/crates/expr/tests/select.rs
+++ b/crates/expr/tests/select.rs
@@ -146,6 +146,24 @@
     assert!(size_of::<SelectKey>() <= 24);
 }
 
+#[test]
+fn a_text_that_most_tests_have_is_no_key_for_them() {
+    let mut interner = Interner::new();
+    let test = |number: usize| {
+        format!("request.agent.orValue('') == 'the-one.example' && request.path.startsWith('/{number}/')")
+    };
+    let expressions = (0..2000).map(|number| Expression::new(&test(number), &schema()).unwrap());
+    let (keys, compiled): (Vec<_>, Vec<_>) = expressions
+        .map(|expression| (expression.select_key(&mut interner), expression.compile(&mut interner)))
+        .unzip();
+    let selector = Selector::new(keys.iter());
+    let request =
+        Request { path: "/1999/live".into(), agent: Some("the-one.example".into()), ..Request::default() };
+    let chosen = chosen(&selector, &request, &mut Chosen::default());
+    assert!(chosen.contains(&1999) && chosen.len() < 32, "{} are chosen", chosen.len());
+    drop(compiled);
+}
+
 #[test]
 fn tests_that_nothing_tells_apart_are_counted() {
     let keys = [key_of("true"), key_of("request.path == '/a'"), key_of("request.retry")];
