--- a/crates/routes/benches/rules.rs
+++ b/crates/routes/benches/rules.rs
@@ -11,6 +11,8 @@
 use std::net::IpAddr;
 
 const SIZES: [usize; 4] = [1, 10, 100, 1000];
+/// Sizes of sets that the index tells apart.
+const INDEXED_SIZES: [usize; 5] = [1, 10, 100, 1000, 63_000];
 
 fn catalog() -> Catalog {
     Catalog {
@@ -69,7 +71,7 @@
 
 fn route(c: &mut Criterion) {
     let mut group = c.benchmark_group("route");
-    for size in SIZES {
+    for size in INDEXED_SIZES {
         let path = format!("/programmes/{}/audio", size - 1);
         let request = request(&path);
         let mut prefix = router(size, test);
@@ -83,6 +85,10 @@
         group.bench_function(BenchmarkId::new("equal", size), |b| {
             b.iter(|| equal.route(black_box(&request), 0.0))
         });
+    }
+    for size in SIZES {
+        let path = format!("/programmes/{}/audio", size - 1);
+        let request = request(&path);
         // Nothing tells these apart but looking.
         let mut contains = router(size, |i| format!("request.path.contains(\"/{i}/\")"));
         group.bench_function(BenchmarkId::new("contains", size), |b| {
--- a/crates/routes/src/effect.rs
+++ b/crates/routes/src/effect.rs
@@ -1,6 +1,7 @@
-//! Which effect a request is declared to have, and whether a rule may give it a class. It owns the order of
-//! effects and the proof, over every way that an expression can take, that no way gives a request a class that
-//! is safer to repeat than the request is. It must never trust what it cannot prove: an unknown value is wrong.
+//! Which effect a request is declared to have, and whether a rule may give it a class.
+//!
+//! A rule may give a class only where every way that its expression can take is proved to give a request a class
+//! that is no safer to repeat than the request is. What cannot be proved is refused.
 
 use crate::request::field;
 use driftgap_expr::{Expression, Facts, Outcome, Path};
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -2,8 +2,8 @@
 //! is, which pool of instances may serve it, which local limits it must pass, what is noted on it, and whether
 //! it is turned away at once.
 //!
-//! [`Rules::read`] judges a file whole and names every fault; [`Router::route`] takes a request and a time. The
-//! rules are expressions of `driftgap-expr`, so that what a request can cost is known when the file is read, and
+//! [`Rules::read`] judges a file whole and names every fault; [`Rules::read_part`] takes over what rules in force
+//! have already. [`Router::route`] takes a request and a time. The rules are expressions of `driftgap-expr`, so that what a request can cost is known when the file is read, and
 //! so is which class it can get: a rule that could make a request with an effect safe to repeat is refused.
 //!
 //! It does no I/O and reads no clock. Which instance of a pool serves a request is not decided here.
@@ -29,6 +29,7 @@
 mod rule;
 mod rule_reader;
 mod rules;
+mod takeover;
 
 pub use effect::{Effect, COMMANDS};
 pub use environment::Catalog;
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -11,19 +11,19 @@
 use crate::pool::{self, Pool};
 use crate::reader::{Reader, Value, Values};
 use crate::request::request_schema;
-use crate::rule::{CheckedRule, LimitSpec, Rule, RuleLimit, Shared};
+use crate::rule::{CheckedRule, Rule, RuleLimit, Shared};
 use crate::rule_reader::{refuse_second, RuleFields, RuleReader};
-use crate::rules::{RuleSet, Rules};
+use crate::rules::{lock, RuleSet, Rules};
+use crate::takeover::Previous;
 use driftgap_expr::{Schema, Selector};
-use std::cell::OnceCell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::ops::Range;
-use std::sync::{Arc, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use toml::de::DeTable;
 
 /// Bytes that reading a file may take unless told otherwise.
 pub const DEFAULT_MOST_BYTES: usize = 64 * 1024 * 1024;
-/// Bytes that are planned for each byte of what is parsed in one piece. Lists, tables and texts take 46 to 109;
+/// Bytes that are planned for each byte of what is parsed in one piece. Lists, tables and texts take up to 122;
 /// only keys of many dots take more, up to 333 were seen.
 const PARSED_FACTOR: usize = 128;
 /// Bytes that reading takes for a rule of the file on its way: its place, its name's hash, its texts in order.
@@ -77,15 +77,14 @@
     }
     let shared = options.previous.map_or_else(Default::default, |rules| rules.set.shared.clone());
     let mut reader = Reader::new(input.text, input.file);
-    let mut table = crate::rules::lock(&shared);
-    table.sweep();
-    let set = Reading::new(input, options, &mut reader, &mut table, keep).read();
-    if let Some(parts) = set.filter(|_| reader.clean()) {
-        drop(table);
+    let mut tables = lock(&shared);
+    tables.sweep();
+    let parts = Reading::new(input, options, &mut reader, &mut tables, keep).read();
+    if let Some(parts) = parts.filter(|_| reader.clean()) {
+        drop(tables);
         return Ok(Rules::new(parts.finish(shared)));
     }
-    table.sweep();
-    drop(table);
+    tables.sweep();
     Err(reader.into_faults())
 }
 
@@ -99,48 +98,13 @@
 }
 
 impl RuleParts {
-    fn finish(self, shared: Arc<std::sync::Mutex<Shared>>) -> RuleSet {
+    fn finish(self, shared: Arc<Mutex<Shared>>) -> RuleSet {
         let RuleParts { rules, pools, environment, cost, report } = self;
         let selector = Selector::new(rules.iter().map(|rule| &rule.key));
         RuleSet::new(rules, pools, environment, selector, cost, report, shared)
     }
 }
 
-/// The rules in force, as the reading of another file sees them.
-struct Previous<'a> {
-    rules: &'a [Arc<Rule>],
-    /// Numbers of the rules in the order of their contents; empty where the environment is another one.
-    by_content: Vec<u32>,
-    /// Filled when a rule with a limit is compiled.
-    by_name: OnceCell<HashMap<&'a str, u32>>,
-}
-
-impl<'a> Previous<'a> {
-    fn new(previous: Option<&'a Rules>, environment: &Environment) -> Previous<'a> {
-        let rules = previous.map_or(&[][..], |previous| &previous.set.rules);
-        let is_same = previous.is_some_and(|previous| *previous.set.environment == *environment);
-        let comparable = if is_same { rules.len() as u32 } else { 0 };
-        let mut by_content: Vec<u32> = (0..comparable).collect();
-        by_content.sort_unstable_by_key(|number| rules[*number as usize].content);
-        Previous { rules, by_content, by_name: OnceCell::new() }
-    }
-
-    /// The rule that was read from this content in an equal environment.
-    fn rule(&self, content: ContentHash) -> Option<&'a Arc<Rule>> {
-        let found =
-            self.by_content.binary_search_by_key(&content, |number| self.rules[*number as usize].content);
-        self.rules.get(self.by_content[found.ok()?] as usize)
-    }
-
-    /// The state of an equal limit.
-    fn limit(&self, rule: &str, spec: &LimitSpec) -> Option<Arc<Limit>> {
-        let names = || self.rules.iter().zip(0..).map(|(rule, number)| (&*rule.name, number)).collect();
-        let number = *self.by_name.get_or_init(names).get(rule)?;
-        let held = self.rules.get(number as usize)?.limit.as_deref()?;
-        (held.spec == *spec).then(|| held.limit.clone())
-    }
-}
-
 /// A file under reading.
 struct Reading<'a, 'g, 't> {
     input: &'a Input<'t>,
--- a/crates/routes/src/request.rs
+++ b/crates/routes/src/request.rs
@@ -1,6 +1,6 @@
-//! What rules may read of a request and of an instance: the names, their types, how long each gets. It owns the
-//! two schemas and the views through which values come. It must never copy a value, nor hand on one that is
-//! longer than its bound: costs are computed from the bounds.
+//! What rules may read of a request and of an instance: the two schemas, and the views through which values come.
+//!
+//! Values are borrowed, and none is longer than its bound: the costs of expressions are computed from the bounds.
 
 use driftgap_expr::{Bound, FieldId, Input, Schema, Type, Value};
 use std::cell::Cell;
