--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,7 @@
 use crate::inventory::{Inventory, InventoryError};
 use crate::operator::Operator;
 use crate::plugin::{Plugin, PluginError};
-use crate::routing::{catalog, Source};
+use crate::routing::{catalog, Source, MEMORY_SHARE};
 use crate::rule_reload::{Reading, ReloadError, RuleReload};
 use crate::settings::Config;
 use crate::upstream::Upstream;
@@ -407,8 +407,10 @@
     let memory_mb = config.memory_mb * if inherited { BESIDE } else { 1.0 };
     let Signals { mut term, mut int, hang_up } = signals;
     let plugin = operator.plugin.as_ref().map(|p| Plugin::load(p, &operator.folder)).transpose()?;
-    let node =
-        Node::new(&config, Hub::new(&config, memory_mb, plugin, Clock::system(), operator.group.is_some())?);
+    let source = Source::of(&operator, memory_mb);
+    let rules_mb = source.as_ref().map_or(0.0, |_| memory_mb * MEMORY_SHARE);
+    let (commands_mb, in_group) = (memory_mb - rules_mb, operator.group.is_some());
+    let node = Node::new(&config, Hub::new(&config, commands_mb, plugin, Clock::system(), in_group)?);
     let hub = node.hub.clone();
     let handover = beside(&config, inherited);
     if let Some(handover) = &handover {
@@ -426,7 +428,7 @@
         spawn_local(obey(hub.clone(), group.view()));
     }
     let mut rules = None;
-    if let Some(source) = Source::of(&operator, memory_mb) {
+    if let Some(source) = source {
         let text = source.text();
         let catalog = catalog(hub.platform());
         let mut read = text.clone().and_then(|text| source.judge(&text, &catalog, None));
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -12,9 +12,9 @@
 use std::net::IpAddr;
 use std::path::PathBuf;
 
-/// The part of the memory that rules may take: the file's text, the rules in force and those that a reload compiles
-/// anew, all together. Commands and what is under way between clients and instances may take three quarters.
-pub const MEMORY_SHARE: f64 = 1.0 / 6.0;
+/// The part of the memory that rules may take where there are any: the file's text, the rules in force and those that
+/// a reload compiles anew, all together. Commands share what is left.
+pub const MEMORY_SHARE: f64 = 0.25;
 
 /// Where rules are read from.
 #[derive(Clone, Debug, PartialEq, Eq)]
