--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -2,8 +2,8 @@
 //! is, which pool of instances may serve it, which local limits it must pass, what is noted on it, and whether
 //! it is turned away at once.
 //!
-//! [`Rules::read`] judges a file whole and names every fault; [`Router::route`] takes a request and a time. The
-//! rules are expressions of `driftgap-expr`, so that what a request can cost is known when the file is read, and
+//! [`Rules::read`] judges a file whole and names every fault; [`Rules::read_part`] takes over what rules in force
+//! have already. [`Router::route`] takes a request and a time. The rules are expressions of `driftgap-expr`, so that what a request can cost is known when the file is read, and
 //! so is which class it can get: a rule that could make a request with an effect safe to repeat is refused.
 //!
 //! It does no I/O and reads no clock. Which instance of a pool serves a request is not decided here.
@@ -11,19 +11,36 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod content;
+mod cost;
+mod document;
 mod effect;
-mod file;
+mod environment;
+mod explain;
+mod fault;
 mod limit;
+mod mapping;
+mod names;
+mod pool;
+mod read;
+mod reader;
 mod request;
 mod route;
+mod rule;
+mod rule_reader;
 mod rules;
+mod takeover;
 
 pub use effect::{Effect, COMMANDS};
-pub use file::Fault;
+pub use environment::Catalog;
+pub use explain::{Explained, Explainer};
+pub use fault::Fault;
 pub use limit::{Allowance, Limit, Ticket};
+pub use pool::{ANY, MOST_POOLS};
+pub use read::{ReadOptions, ReadReport, DEFAULT_MOST_BYTES};
 pub use request::{
     bound, instance_schema, request_schema, Headers, Instance, NoHeaders, Request, MOST_HEADER, MOST_HEADERS,
     MOST_LABELS, MOST_NAME, MOST_PATH,
 };
-pub use route::{Explained, Mapped, Route, Router, TooSoon, Verdict, ALL};
-pub use rules::{Catalog, Rules, ANY, MOST_FILE, MOST_POOLS, MOST_RULES};
+pub use route::{Mapped, Replaced, Route, Router, TooSoon, Verdict, ALL};
+pub use rules::Rules;
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -782,7 +782,7 @@
                     self.m.latency[class] += LEARN * (took.min(WORST * typical) - typical);
                 }
             }
-            Outcome::Cancelled | Outcome::Moot => return,
+            Outcome::Cancelled | Outcome::Moot => {}
             _ => {
                 match o {
                     Outcome::Full => h.leave_out(now, Ok(plan), AVOID.1),
--- a/src/main.rs
+++ b/src/main.rs
@@ -184,12 +184,12 @@
 
 fn rules(config: Option<PathBuf>, task: &RulesTask) -> Result<String, Vec<String>> {
     let path = config.ok_or_else(|| vec!["EDGE_CONFIG: not set; rules are judged by its classes".into()])?;
-    let platform = Config::read(&path).map_err(|e| vec![format!("EDGE_CONFIG: {e}")])?.platform;
+    let config = Config::read(&path).map_err(|e| vec![format!("EDGE_CONFIG: {e}")])?;
     let sample = |request: &PathBuf| Sample::read(request).map_err(|e| vec![e]);
     match task {
-        RulesTask::Check { file } => rules::check(file, &platform),
-        RulesTask::Explain { file, request } => rules::explain(file, &platform, &sample(request)?),
-        RulesTask::Bench { file, request } => rules::bench(file, &platform, &sample(request)?),
+        RulesTask::Check { file } => rules::check(file, &config),
+        RulesTask::Explain { file, request } => rules::explain(file, &config, &sample(request)?),
+        RulesTask::Bench { file, request } => rules::bench(file, &config, &sample(request)?),
     }
 }
 
