--- a/crates/expr/src/check.rs
+++ b/crates/expr/src/check.rs
@@ -3,16 +3,22 @@
 //! folding of constants and the wording of type faults. It must never evaluate anything of an input, or take
 //! longer than the text's length warrants.
 
+mod leaves;
+mod merge;
+mod truth;
+
+pub(crate) use leaves::Leaf;
+
 use crate::ast::{Binary, Tree, What};
 use crate::constant::{Const, ConstList, ConstMap, Pattern};
 use crate::error::{nearest, Error};
-use crate::facts::{Fact, Facts, Path, Texts};
+use crate::facts::{Facts, Path};
 use crate::fold::fold;
 use crate::lex::short;
-use crate::schema::{Bound, FieldId, Schema, Type};
+use crate::node::{bounded, Func, Kind, Node};
+use crate::schema::{Bound, Schema, Type};
 use ipnet::IpNet;
 use rapidhash::RapidHashMap;
-use std::collections::BTreeSet;
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -31,112 +37,6 @@
 /// Longest duration, ms: 100 years.
 const MOST_DURATION: f64 = 3.2e12;
 
-/// What an operator or a function of the language does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum Func {
-    Size,
-    StartsWith,
-    EndsWith,
-    Contains,
-    LowerAscii,
-    Split,
-    ToInt,
-    ToDouble,
-    ToText,
-    ToIp,
-    Milliseconds,
-    Hash,
-    Min,
-    Max,
-    Minus,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Kind {
-    Const(Const),
-    Field(FieldId),
-    Local(u16),
-    /// An item of a list: optional.
-    Item(Box<Node>, Box<Node>),
-    /// An entry of a map: optional.
-    Lookup(Box<Node>, Box<Node>),
-    /// What is optional and proven to be there.
-    Sure(Box<Node>),
-    Has(Box<Node>),
-    OrValue(Box<Node>, Box<Node>),
-    Let(u16, Box<Node>, Box<Node>),
-    Not(Box<Node>),
-    And(Vec<Node>),
-    Or(Vec<Node>),
-    If(Box<Node>, Box<Node>, Box<Node>),
-    Binary(Binary, Box<Node>, Box<Node>),
-    Call(Func, Vec<Node>),
-    /// Is one of a set of constants.
-    InSet(Box<Node>, Const),
-    /// Begins with one of these.
-    BeginsWithAny(Box<Node>, Vec<Arc<str>>),
-    Matches(Box<Node>, Arc<str>),
-    InCidrs(Box<Node>, Vec<IpNet>),
-    /// Is an item of a list that is no constant.
-    InList(Box<Node>, Box<Node>),
-    /// `list.exists(x, test)` or `list.all(x, test)`; the number is x's, the two after it are the loop's own.
-    Loop {
-        all: bool,
-        slot: u16,
-        list: Box<Node>,
-        test: Box<Node>,
-    },
-}
-
-/// An expression whose type is known.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct Node {
-    pub(crate) kind: Kind,
-    pub(crate) ty: Type,
-    pub(crate) bound: Bound,
-    pub(crate) span: Range<usize>,
-}
-
-impl Node {
-    fn new(kind: Kind, ty: Type, bound: Bound, span: Range<usize>) -> Node {
-        Node { kind, ty, bound, span }
-    }
-
-    fn constant(value: Const, span: Range<usize>) -> Node {
-        let (ty, bound) = (value.ty(), value.bound());
-        Node::new(Kind::Const(value), ty, bound, span)
-    }
-
-    pub(crate) fn as_const(&self) -> Option<&Const> {
-        match &self.kind {
-            Kind::Const(value) => Some(value),
-            _ => None,
-        }
-    }
-
-    fn as_text(&self) -> Option<&Arc<str>> {
-        match self.as_const() {
-            Some(Const::Text(text)) => Some(text),
-            _ => None,
-        }
-    }
-
-    pub(crate) fn children(&self) -> Vec<&Node> {
-        match &self.kind {
-            Kind::Const(_) | Kind::Field(_) | Kind::Local(_) => vec![],
-            Kind::Sure(a) | Kind::Has(a) | Kind::Not(a) => vec![a],
-            Kind::InSet(a, _) | Kind::BeginsWithAny(a, _) | Kind::Matches(a, _) | Kind::InCidrs(a, _) => {
-                vec![a]
-            }
-            Kind::Item(a, b) | Kind::Lookup(a, b) | Kind::OrValue(a, b) => vec![a, b],
-            Kind::Let(_, a, b) | Kind::Binary(_, a, b) | Kind::InList(a, b) => vec![a, b],
-            Kind::Loop { list, test, .. } => vec![list, test],
-            Kind::And(parts) | Kind::Or(parts) | Kind::Call(_, parts) => parts.iter().collect(),
-            Kind::If(a, b, c) => vec![a, b, c],
-        }
-    }
-}
-
 /// A name of the expression's own.
 #[derive(Clone, Debug)]
 struct Name {
@@ -183,10 +83,6 @@
 const FUNCTIONS: [&str; 11] =
     ["has", "size", "int", "double", "string", "duration", "ip", "hash", "min", "max", "let"];
 
-pub(crate) fn bounded(bytes: u32, items: u32) -> Bound {
-    Bound { bytes, items }
-}
-
 fn mismatch(span: &Range<usize>, want: &str, got: &Node) -> Error {
     let error = Error::new(span.clone(), format!("this is {}", article(&got.ty)));
     match &got.ty {
@@ -443,61 +339,6 @@
         })
     }
 
-    /// Neighbouring tests of one place as one: equalities as a look-up, beginnings as one automaton.
-    fn merged(&self, nodes: Vec<Node>) -> Vec<Node> {
-        let mut merged: Vec<Node> = Vec::new();
-        let mut run: Option<(Node, Tested)> = None;
-        for node in nodes {
-            if let Some((first, tested)) = &mut run {
-                let of = self.tested(first).map(|(of, _)| of);
-                if let (Some(of), Some((too, more))) = (of, self.tested(&node)) {
-                    if self.same(of, too) && tested.take(more) {
-                        first.span.end = node.span.end;
-                        continue;
-                    }
-                }
-            }
-            merged.extend(run.take().map(|run| self.whole(run)));
-            match self.tested(&node) {
-                Some((_, tested)) => run = Some((node, tested)),
-                None => merged.push(node),
-            }
-        }
-        merged.extend(run.map(|run| self.whole(run)));
-        merged
-    }
-
-    /// A run of tests as one node.
-    fn whole(&self, (first, tested): (Node, Tested)) -> Node {
-        let Some((of, _)) = self.tested(&first) else { return first };
-        let kind = match tested {
-            Tested::One(texts) if texts.len() > 1 => Kind::InSet(of.clone().into(), Const::texts(texts)),
-            Tested::Begin(texts) if texts.len() > 1 => Kind::BeginsWithAny(of.clone().into(), texts),
-            _ => return first,
-        };
-        Node::new(kind, Type::Bool, Bound::default(), first.span)
-    }
-
-    fn same(&self, a: &Node, b: &Node) -> bool {
-        self.path(a).is_some_and(|path| Some(path) == self.path(b))
-    }
-
-    fn tested<'n>(&self, node: &'n Node) -> Option<(&'n Node, Tested)> {
-        match &node.kind {
-            Kind::Binary(Binary::Equal, a, b) => match (a.as_text(), b.as_text()) {
-                (None, Some(text)) => Some((a, Tested::One(vec![text.clone()]))),
-                (Some(text), None) => Some((b, Tested::One(vec![text.clone()]))),
-                _ => None,
-            },
-            Kind::InSet(a, Const::TextSet(set)) => Some((a, Tested::One(set.iter().cloned().collect()))),
-            Kind::Call(Func::StartsWith, args) => {
-                Some((&args[0], Tested::Begin(vec![args.get(1)?.as_text()?.clone()])))
-            }
-            Kind::BeginsWithAny(a, all) => Some((a, Tested::Begin(all.clone()))),
-            _ => None,
-        }
-    }
-
     fn is_in(&mut self, a: &Tree, b: &Tree, span: Range<usize>, facts: &Facts) -> Res<Node> {
         let node = self.check(a, facts)?;
         // A list that is written out may hold what is no constant: it is tested item by item.
@@ -969,227 +810,6 @@
         let kind = Kind::Loop { all, slot, list: list.into(), test: test.into() };
         Ok(Node::new(kind, Type::Bool, Bound::default(), span))
     }
-
-    /// What holds of the input where a test is true, and where it is false; none: it never is. Each node is
-    /// looked at once: asking for either way by itself would double the work with each `? :` in a test.
-    pub(crate) fn facts(&self, node: &Node) -> [Option<Facts>; 2] {
-        let nothing = || [Some(Facts::default()), Some(Facts::default())];
-        let both = |of: &Node, yes: Fact, no: Fact| match self.path(of) {
-            Some(path) => [Some(Facts::one(path.clone(), yes)), Some(Facts::one(path, no))],
-            None => nothing(),
-        };
-        let texts = |of: &Node, all: BTreeSet<Arc<str>>| {
-            let no = Fact { texts: Texts::NotIn(all.clone()), ..Fact::default() };
-            both(of, Fact { texts: Texts::In(all), ..Fact::default() }, no)
-        };
-        let swapped = |[yes, no]: [Option<Facts>; 2]| [no, yes];
-        match &node.kind {
-            Kind::Const(Const::Bool(value)) => [value.then(Facts::default), (!value).then(Facts::default)],
-            Kind::Not(a) => swapped(self.facts(a)),
-            Kind::And(parts) | Kind::Or(parts) => {
-                let and = matches!(node.kind, Kind::And(_));
-                let (mut all, mut any) = (Some(Facts::default()), None);
-                for part in parts {
-                    let [yes, no] = self.facts(part);
-                    let (each, either) = if and { (yes, no) } else { (no, yes) };
-                    all = all.and_then(|known| known.meet(each?));
-                    any = Facts::join(any, either);
-                }
-                if and {
-                    [all, any]
-                } else {
-                    [any, all]
-                }
-            }
-            Kind::If(test, yes, no) => {
-                let ([when_yes, when_no], yes, no) = (self.facts(test), self.facts(yes), self.facts(no));
-                let met = |when: &Option<Facts>, side: Option<Facts>| when.clone()?.meet(side?);
-                let ([yes_true, yes_false], [no_true, no_false]) = (yes, no);
-                [
-                    Facts::join(met(&when_yes, yes_true), met(&when_no, no_true)),
-                    Facts::join(met(&when_yes, yes_false), met(&when_no, no_false)),
-                ]
-            }
-            Kind::Let(_, _, body) => self.facts(body),
-            Kind::Local(slot) => {
-                let name = self.names.iter().find(|n| n.slot == *slot);
-                name.and_then(|name| name.when.clone()).unwrap_or_else(nothing)
-            }
-            Kind::Has(of) => {
-                let there = |present| Fact { present: Some(present), ..Fact::default() };
-                both(of, there(true), there(false))
-            }
-            Kind::Binary(operator @ (Binary::Equal | Binary::Unequal), a, b) => {
-                let (of, text) = match (a.as_text(), b.as_text()) {
-                    (None, Some(text)) => (a, text),
-                    (Some(text), None) => (b, text),
-                    _ => return nothing(),
-                };
-                let known = match with_default(of) {
-                    // Another text than the default is what is there.
-                    Some((of, default)) if default != text => {
-                        let texts = Texts::In(BTreeSet::from([text.clone()]));
-                        both(of, Fact { present: Some(true), texts, ..Fact::default() }, Fact::default())
-                    }
-                    _ => texts(of, BTreeSet::from([text.clone()])),
-                };
-                if *operator == Binary::Equal {
-                    known
-                } else {
-                    swapped(known)
-                }
-            }
-            Kind::InSet(of, Const::TextSet(set)) => match with_default(of) {
-                Some((of, default)) if !set.contains(default) => {
-                    let texts = Texts::In(set.iter().cloned().collect());
-                    both(of, Fact { present: Some(true), texts, ..Fact::default() }, Fact::default())
-                }
-                _ => texts(of, set.iter().cloned().collect()),
-            },
-            Kind::Call(Func::StartsWith, args) => match args[1].as_text() {
-                Some(text) => both(
-                    &args[0],
-                    begins(std::slice::from_ref(text), true),
-                    begins(std::slice::from_ref(text), false),
-                ),
-                None => nothing(),
-            },
-            Kind::BeginsWithAny(of, all) => both(of, begins(all, true), begins(all, false)),
-            _ => nothing(),
-        }
-    }
-}
-
-/// Most values that are told apart of one expression.
-const MOST_LEAVES: usize = 512;
-
-/// A value that an expression may have, and what is known of the input where it has it.
-pub(crate) enum Leaf {
-    Const(Const),
-    /// The value of this place of the input.
-    Place(Path),
-    Unknown,
-}
-
-pub(crate) type Leaves = Vec<(Leaf, Facts, Range<usize>)>;
-
-impl Checker<'_> {
-    /// All values that an expression may have, given what is known; none: too many to tell apart.
-    pub(crate) fn leaves(&self, node: &Node, facts: &Facts) -> Option<Leaves> {
-        let mut found = Vec::new();
-        self.gather(node, facts.clone(), &mut Vec::new(), &mut found)?;
-        Some(found)
-    }
-
-    fn gather<'n>(
-        &self,
-        node: &'n Node,
-        facts: Facts,
-        lets: &mut Vec<(u16, &'n Node)>,
-        found: &mut Leaves,
-    ) -> Option<()> {
-        if found.len() >= MOST_LEAVES {
-            return None;
-        }
-        let span = node.span.clone();
-        let with = |known: &Facts, path: Option<Path>, fact: Fact| match path {
-            Some(path) => known.clone().meet(Facts::one(path, fact)),
-            None => Some(known.clone()),
-        };
-        match &node.kind {
-            Kind::If(test, yes, no) => {
-                let [when_yes, when_no] = self.facts(test);
-                for (when, side) in [(when_yes, yes), (when_no, no)] {
-                    if let Some(known) = when.and_then(|when| facts.clone().meet(when)) {
-                        self.gather(side, known, lets, found)?;
-                    }
-                }
-            }
-            Kind::Let(slot, value, body) => {
-                lets.push((*slot, value));
-                self.gather(body, facts, lets, found)?;
-            }
-            Kind::Local(slot) => match lets.iter().find(|(s, _)| s == slot) {
-                Some((_, value)) => self.gather(value, facts, lets, found)?,
-                None => found.push((Leaf::Unknown, facts, span)),
-            },
-            Kind::Sure(of) => self.gather(of, facts, lets, found)?,
-            Kind::OrValue(of, default) => match &of.kind {
-                // A table that is written out: each of its values where the key is that value's.
-                Kind::Lookup(map, key) if map.as_const().is_some() => {
-                    let Some(Const::Map(map)) = map.as_const() else { return None };
-                    let path = self.path(key);
-                    let mut entries: Vec<_> = map.entries.iter().collect();
-                    entries.sort_by(|a, b| a.0.cmp(b.0));
-                    for (name, value) in entries {
-                        let is = Fact { texts: Texts::In(BTreeSet::from([name.clone()])), ..Fact::default() };
-                        if let Some(known) = with(&facts, path.clone(), is) {
-                            found.push((Leaf::Const(value.clone()), known, span.clone()));
-                        }
-                    }
-                    let not = Fact {
-                        texts: Texts::NotIn(map.entries.keys().cloned().collect()),
-                        ..Fact::default()
-                    };
-                    if let Some(known) = with(&facts, path, not) {
-                        self.gather(default, known, lets, found)?;
-                    }
-                }
-                _ => {
-                    let path = self.path(of);
-                    let there = |present| Fact { present: Some(present), ..Fact::default() };
-                    if let Some(known) = with(&facts, path.clone(), there(true)) {
-                        let leaf = path.clone().map_or(Leaf::Unknown, Leaf::Place);
-                        found.push((leaf, known, of.span.clone()));
-                    }
-                    if let Some(known) = with(&facts, path, there(false)) {
-                        self.gather(default, known, lets, found)?;
-                    }
-                }
-            },
-            Kind::Const(value) => found.push((Leaf::Const(value.clone()), facts, span)),
-            _ => {
-                let leaf = self.path(node).map_or(Leaf::Unknown, Leaf::Place);
-                found.push((leaf, facts, span));
-            }
-        }
-        (found.len() <= MOST_LEAVES).then_some(())
-    }
-}
-
-/// What is optional and read with a default that is written out.
-fn with_default(node: &Node) -> Option<(&Node, &Arc<str>)> {
-    match &node.kind {
-        Kind::OrValue(of, default) => Some((of, default.as_text()?)),
-        _ => None,
-    }
-}
-
-fn begins(all: &[Arc<str>], polarity: bool) -> Fact {
-    let set = all.iter().cloned().collect();
-    match polarity {
-        true => Fact { prefixes: Some(set), ..Fact::default() },
-        false => Fact { not_prefixes: set, ..Fact::default() },
-    }
-}
-
-/// What a place is tested for.
-enum Tested {
-    One(Vec<Arc<str>>),
-    Begin(Vec<Arc<str>>),
-}
-
-impl Tested {
-    /// Takes in more of the same kind; false: it is of the other.
-    fn take(&mut self, more: Tested) -> bool {
-        match (self, more) {
-            (Tested::One(texts), Tested::One(more)) | (Tested::Begin(texts), Tested::Begin(more)) => {
-                texts.extend(more);
-                true
-            }
-            _ => false,
-        }
-    }
 }
 
 fn constant_list(items: Vec<Node>, span: Range<usize>) -> Res<Node> {
--- a/crates/expr/src/constant.rs
+++ b/crates/expr/src/constant.rs
@@ -2,7 +2,7 @@
 //! compiled patterns. They are small, clone cheaply and compare by content, so that compiled expressions can
 //! share them.
 
-use crate::check::bounded;
+use crate::node::bounded;
 use crate::schema::{Bound, Type, Value};
 use crate::text_index::PrefixIndex;
 use ipnet::IpNet;
--- a/crates/expr/src/explain.rs
+++ b/crates/expr/src/explain.rs
@@ -1,8 +1,8 @@
 //! What an expression does on one input, part by part. It owns the order of parts and what counts as reached.
 //! It must never be on the serving path: each part is compiled anew.
 
-use crate::check::{Kind, Node};
 use crate::machine::{run, Scratch};
+use crate::node::{Kind, Node};
 use crate::program::Program;
 use crate::schema::{Input, Type, Value};
 use crate::Expression;
--- a/crates/expr/src/fold.rs
+++ b/crates/expr/src/fold.rs
@@ -1,10 +1,10 @@
 //! Folding of constants: a part of an expression that reads nothing of the input is evaluated when the
 //! expression is checked.
 
-use crate::check::{Kind, Node};
 use crate::constant::Const;
 use crate::error::Error;
 use crate::machine::{run, Scratch};
+use crate::node::{Kind, Node};
 use crate::program::Program;
 use crate::schema::{FieldId, Input, Schema, Type, Value};
 
--- a/crates/expr/src/lib.rs
+++ b/crates/expr/src/lib.rs
@@ -46,6 +46,7 @@
 mod interner;
 mod lex;
 mod machine;
+mod node;
 mod price;
 mod program;
 mod schema;
@@ -66,7 +67,8 @@
 pub use select::{Chosen, Selector};
 pub use select_key::SelectKey;
 
-use check::{Checker, Leaf, Node};
+use check::{Checker, Leaf};
+use node::Node;
 use program::Program;
 use std::ops::Range;
 
--- a/crates/expr/src/program.rs
+++ b/crates/expr/src/program.rs
@@ -2,9 +2,9 @@
 //! programs may share, and its operands, the constants that its steps refer to by number.
 
 use crate::ast::Binary;
-use crate::check::{Func, Kind, Node};
 use crate::constant::{Const, Operand, Pattern};
 use crate::machine::Code;
+use crate::node::{Func, Kind, Node};
 use crate::price;
 use crate::schema::{FieldId, Schema, Type};
 use crate::text_index::PrefixIndex;
