Tests of expressions: random cases print the seed that they can be played again with

The header of properties.rs said that failing cases print their seed; without a file of failures proptest prints the case only. Each random test now prints PROPTEST_RNG_SEED, and takes it from the environment. Played with seeds 1 and 2 and a random one: all pass.

--- a/crates/expr/tests/compiled.rs
+++ b/crates/expr/tests/compiled.rs
@@ -18,7 +18,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(generators::cases(400))]
 
     #[test]
     fn the_compiled_form_gives_the_same_values_faults_and_costs(
--- a/crates/expr/tests/generators/mod.rs
+++ b/crates/expr/tests/generators/mod.rs
@@ -5,6 +5,20 @@
 use driftgap_expr::Type;
 use proptest::prelude::*;
 use proptest::sample::select;
+use proptest::test_runner::RngSeed;
+use std::hash::{BuildHasher, RandomState};
+
+/// So many cases from a seed that is printed: the test that is run again with it in the environment has the same
+/// cases.
+pub fn cases(cases: u32) -> ProptestConfig {
+    let config = ProptestConfig::default();
+    let seed = match config.rng_seed {
+        RngSeed::Fixed(seed) => seed,
+        RngSeed::Random => RandomState::new().hash_one(()),
+    };
+    println!("PROPTEST_RNG_SEED={seed}");
+    ProptestConfig { cases, failure_persistence: None, rng_seed: RngSeed::Fixed(seed), ..config }
+}
 
 /// Texts of expressions of one type each, nested to a depth.
 pub fn bool_text(depth: u32) -> BoxedStrategy<String> {
--- a/crates/expr/tests/properties.rs
+++ b/crates/expr/tests/properties.rs
@@ -38,7 +38,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(generators::cases(400))]
 
     #[test]
     fn what_is_well_typed_never_fails_for_a_type_nor_passes_its_cost(
--- a/crates/expr/tests/select.rs
+++ b/crates/expr/tests/select.rs
@@ -80,7 +80,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(generators::cases(200))]
 
     #[test]
     fn the_index_chooses_as_brute_force_does(
@@ -113,7 +113,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 6, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(generators::cases(6))]
 
     #[test]
     fn thousands_of_nested_prefixes_are_chosen_as_by_brute_force(
