Rules: faults of the TOML are told from the first one on, however many follow

They are put in order first. A rule that is too long to be parsed asks whether a bracket or a quote does not end.

--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -187,7 +187,7 @@
         let most = self.options.most_bytes / PARSED_FACTOR;
         if length > most {
             let problem = format!("{length} bytes would be parsed in one piece, {most} are the most");
-            let help = "a header [[rule]] by itself for each rule lets them be parsed one by one";
+            let help = "does a bracket or a quote not end? rules that begin with [[rule]] each are parsed one by one";
             self.reader.fault_in_file(place, problem, Some(help.into()));
         }
         length <= most
--- a/crates/routes/src/reader.rs
+++ b/crates/routes/src/reader.rs
@@ -55,9 +55,7 @@
             return self.faults;
         }
         self.faults.clear();
-        let mut syntax = std::mem::take(&mut self.syntax);
-        syntax.sort_by_key(|fault| fault.span.start);
-        for fault in syntax {
+        for fault in std::mem::take(&mut self.syntax) {
             self.fault_in_file(fault.span, fault.problem, None);
         }
         self.faults
@@ -76,12 +74,14 @@
     /// An excerpt as a table; none: it is no TOML, which is noted.
     pub(crate) fn parse<'d>(&mut self, excerpt: &'d Excerpt<'_>) -> Option<Spanned<DeTable<'d>>> {
         let (table, errors) = DeTable::parse_recoverable(excerpt.text());
-        for error in &errors {
-            if self.syntax.len() < MOST_FAULTS {
-                let span = excerpt.in_file(&error.span().unwrap_or(0..1));
-                self.syntax.push(SyntaxFault { span, problem: error.message().replace('\n', " ") });
-            }
-        }
+        let fault = |error: &toml::de::Error| SyntaxFault {
+            span: excerpt.in_file(&error.span().unwrap_or(0..1)),
+            problem: error.message().replace('\n', " "),
+        };
+        self.syntax.extend(errors.iter().map(fault));
+        // The parser does not tell them in the order of the file, and there may be one for each of its tokens.
+        self.syntax.sort_by_key(|fault| fault.span.start);
+        self.syntax.truncate(MOST_FAULTS);
         errors.is_empty().then_some(table)
     }
 
--- a/crates/routes/tests/bounds.rs
+++ b/crates/routes/tests/bounds.rs
@@ -87,6 +87,10 @@
     // Cut into rules it passes with as much.
     let cut: String = (0..2_000).map(|i| format!("[[rule]]\nname = 'r{i}'\n")).collect();
     assert!(within(&cut, None, text.len() * 64).is_ok());
+    // A bracket that does not end takes all that follows into one rule.
+    let torn = cut.replacen("name = 'r7'", "name = 'r7'\npool = [", 1);
+    let faults = within(&torn, None, torn.len() * 64).unwrap_err();
+    assert!(faults[0].starts_with("rules.toml:15:1: ") && faults[0].contains("does a bracket"), "{faults:?}");
     // One rule that is as long.
     let long = format!("[[rule]]\nname = 'a'\nnotes = {{ n = '\"{}\"' }}\n", "x".repeat(300_000));
     let faults = within(&long, None, 4 << 20).unwrap_err();
