--- a/crates/expr/benches/select.rs
+++ b/crates/expr/benches/select.rs
@@ -1,5 +1,5 @@
 //! Nanoseconds to choose the tests that can be true for a request, and to evaluate those that were chosen,
-//! among few tests and many. The request matches one of the last tests.
+//! among few tests and many. The requests match tests spread over all of them. And the time to build the index.
 
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use driftgap_expr::{
@@ -119,5 +119,21 @@
     group.finish();
 }
 
-criterion_group!(benches, select);
+/// Building the index over the tests' keys.
+fn build(c: &mut Criterion) {
+    let mut group = c.benchmark_group("build");
+    group.sample_size(10);
+    for (name, text, _) in WORKLOADS {
+        for size in SIZES {
+            let (schema, mut interner) = (schema(), Interner::new());
+            let key =
+                |number| Expression::new(&text(number), &schema).expect("a test").select_key(&mut interner);
+            let keys: Vec<SelectKey> = (0..size).map(key).collect();
+            group.bench_function(BenchmarkId::new(name, size), |b| b.iter(|| Selector::new(keys.iter())));
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, select, build);
 criterion_main!(benches);
