--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -632,3 +632,54 @@
          expect c k1 served news",
     );
 }
+
+#[test]
+fn a_booking_whose_connection_is_reset_long_after_it_began_is_not_made_again() {
+    play_all(
+        "send c k1 book-rebroadcast city 7 d=2900
+         expect * k1
+         wait 1500
+         answer * k1 cut
+         expect c k1 failed
+         wait 300
+         runs k1 1",
+    );
+}
+
+#[test]
+fn a_fetch_whose_connection_is_reset_long_after_it_began_is_made_again() {
+    // Its class has 1.2 s.
+    play_all(
+        "send c k1 fetch-episode city 7 d=2900
+         expect * k1
+         wait 900
+         answer * k1 cut
+         answer * k1 value news
+         expect c k1 served news
+         runs k1 2",
+    );
+}
+
+#[test]
+fn a_connection_that_comes_up_after_1500_ms_is_not_waited_for_and_brings_no_attempt() {
+    play_all(
+        "state a left
+         state b left
+         clog late
+         wait 100
+         send c k1 book-rebroadcast city 7 d=2900
+         wait 50
+         state b active
+         answer b k1 value booked
+         expect c k1 served booked
+         state b left
+         wait 50
+         send c k2 book-rebroadcast city 7 d=1200
+         expect c k2 busy
+         wait 500
+         unclog late
+         wait 2500
+         runs k1 1
+         runs k2 0",
+    );
+}
--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -190,3 +190,62 @@
          runs c119 0",
     );
 }
+
+/// Clients that ask for values and read none, and are gone at once: the connections, and the commands on each.
+fn hundreds_gone(front: Wire, behind: Wire) {
+    let (connections, commands) = if front == Wire::Resp { (300, 1) } else { (15, 20) };
+    let ask = |kind: &str, partner: usize| -> String {
+        (0..connections * commands)
+            .map(|i| {
+                let (connection, partner) = (i % connections, partner + i);
+                // Some at a time, as instances take them.
+                let pause = if i % 10 == 9 { "wait 30\n" } else { "" };
+                format!("send c{connection} {kind}{i} book-rebroadcast national {partner:x}\n{pause}")
+            })
+            .collect()
+    };
+    let close: String = (0..connections).map(|c| format!("close c{c}\n")).collect();
+    // Values that are passed on hold connections to instances (or streams, of which a shared connection has room for
+    // fewer). Whole ones wait in the front, 18 MB of them in each round.
+    let passed_on = ask("p", 100);
+    let (first, second) = (ask("f", 1000), ask("s", 2000));
+    play(
+        front,
+        behind,
+        &format!(
+            "roomy
+             tight
+             always large 300000
+             {passed_on}
+             wait 500
+             begun 120
+             {close}
+             wait 100
+             begun 0
+             wait 900
+             begun none
+             descriptors 40
+             always large 60000
+             {first}
+             {close}
+             wait 500
+             memory
+             {second}
+             {close}
+             wait 500
+             memory 12
+             persist d book-rebroadcast city 7
+             stop
+             expect exit"
+        ),
+    );
+}
+
+#[test]
+fn hundreds_of_clients_that_go_at_once_with_answers_unread_leave_nothing_behind() {
+    for front in [Wire::Resp, Wire::Http2] {
+        for behind in [Wire::Resp, Wire::Http2] {
+            hundreds_gone(front, behind);
+        }
+    }
+}
