--- a/tests/stage/program.rs
+++ b/tests/stage/program.rs
@@ -1,6 +1,6 @@
 //! The program as a process: its start, its signals, its log, and what the system says of it.
 
-use super::{Stage, SOCKETS};
+use super::Stage;
 use std::collections::HashMap;
 use std::fs::OpenOptions;
 use std::os::fd::AsRawFd;
@@ -36,7 +36,8 @@
     pub(super) fn start(&self) -> Child {
         // As the platform does it: no more descriptors than the configuration says.
         let mut program = Command::new("sh");
-        program.args(["-c", &format!("ulimit -n {SOCKETS}; exec \"$0\""), env!("CARGO_BIN_EXE_driftgap")]);
+        let limit = format!("ulimit -n {}; exec \"$0\"", self.sockets);
+        program.args(["-c", &limit, env!("CARGO_BIN_EXE_driftgap")]);
         // Appended to: two processes may write to it, and one that is started again.
         let log = OpenOptions::new().create(true).append(true).open(self.folder.join("log")).unwrap();
         program
