driftgap-scale: experiments by backends, services, zones, routes and tenants, with slopes

Change: a crate of its own, with the program driftgap-scale. An Experiment measures quantities at several sizes; the runner measures each point alone in a process of its own; a report fits a line through each quantity (intercept, slope, standard error, residual, whether growth is linear) and writes JSON, tables and plots. Heap is counted by a counting allocator, processor time by the thread's clock. The measured code is the hub, name table, inventory, rules, core and decision module of an ingress; sockets, backends, counter and waiting are simulated. discovery::take is public, so that a list is taken by the same code as in the program.

Services are mapped onto pools by a label of their backends, since the code has no services of its own: 62 are the most.

--- /dev/null
+++ b/crates/scale/src/experiments/mod.rs
@@ -0,0 +1,9 @@
+//! The experiments, one module a topic. `registry` lists them.
+
+pub mod backends;
+pub mod fleet;
+pub mod routes;
+pub mod services;
+pub mod tenants;
+pub mod traffic;
+pub mod zones;
--- /dev/null
+++ b/crates/scale/src/experiments/routes.rs
@@ -0,0 +1,278 @@
+//! What routes cost an ingress: reading them at the start, a look-up, one route changed, the file replaced.
+
+use crate::experiment::{Experiment, ExperimentError, Measurement, Unit};
+use crate::probe::{measure, resident};
+use driftgap_routes::{Catalog, Effect, NoHeaders, Request, Router, Rules};
+use oorandom::Rand32;
+use std::fmt::Write;
+use std::hint::black_box;
+use std::net::IpAddr;
+
+const SIZES: [u64; 5] = [100, 300, 1_000, 3_000, 10_000];
+const QUICK_SIZES: [u64; 4] = [30, 100, 300, 1_000];
+/// Look-ups over which the cost of one is averaged.
+const LOOK_UPS: u64 = 10_000;
+/// Different requests among these.
+const TARGETS: u64 = 500;
+/// Pools of the mixed form, hosts, and every which of its routes has a limit or a note.
+const POOLS: u64 = 20;
+const HOSTS: u64 = 50;
+const EVERY_LIMIT: u64 = 50;
+const EVERY_NOTE: u64 = 10;
+/// Virtual time of a replacement, ms.
+const REPLACED_AT_MS: f64 = 60_000.0;
+/// Longest deadline of a request, ms.
+const LONGEST_MS: f64 = 3_000.0;
+
+/// What a look-up is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct Target<'a> {
+    /// Host of the request, if it names one.
+    pub host: Option<&'a str>,
+    /// Its path.
+    pub path: &'a str,
+}
+
+/// Routes in force: all that the measurements need of the `driftgap-routes` crate.
+pub struct RouteTable {
+    router: Router,
+}
+
+impl RouteTable {
+    /// Reads a file's text and puts its routes in force.
+    ///
+    /// # Errors
+    /// The text holds faults; the first of them.
+    pub fn start(text: &str) -> Result<RouteTable, ExperimentError> {
+        let mut table = RouteTable { router: Router::new(read(text)?) };
+        table.pools_are_ready();
+        Ok(table)
+    }
+
+    /// Reads another text and puts its routes in force in place of those that are.
+    ///
+    /// # Errors
+    /// The text holds faults; the first of them.
+    pub fn replace(&mut self, text: &str) -> Result<(), ExperimentError> {
+        let rules = read(text)?;
+        let replaced = self.router.replace(rules, REPLACED_AT_MS, LONGEST_MS);
+        replaced.map_err(|e| ExperimentError::Refused(e.to_string()))?;
+        self.pools_are_ready();
+        Ok(())
+    }
+
+    /// Looks a request up.
+    pub fn look_up(&mut self, target: &Target<'_>) {
+        let request = Request {
+            protocol: "http2",
+            method: "GET",
+            path: target.path,
+            query: None,
+            host: target.host,
+            headers: &NoHeaders,
+            class: Some("fetch-episode"),
+            plan: Some("city"),
+            partner: Some("0000000000000007"),
+            id: Some("1"),
+            units: Some(1.0),
+            deadline_ms: Some(900),
+            retry: false,
+            length: None,
+            client: IpAddr::from([127, 0, 0, 1]),
+        };
+        black_box(self.router.route(black_box(&request), 0.0));
+    }
+
+    fn pools_are_ready(&mut self) {
+        self.router.ready([u64::MAX].into_iter());
+    }
+}
+
+fn read(text: &str) -> Result<Rules, ExperimentError> {
+    let catalog = Catalog {
+        classes: vec![("fetch-episode".into(), Effect::Pure)],
+        plans: vec!["city".into()],
+        most_units: 4.0,
+    };
+    Rules::read(text, "routes.toml", &catalog).map_err(|faults| {
+        let first = faults.first().map_or(String::new(), |fault| fault.line.clone());
+        ExperimentError::Refused(first)
+    })
+}
+
+/// One generated route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Route {
+    number: u64,
+    /// Part of its path that nothing else has.
+    token: u32,
+}
+
+impl Route {
+    fn path(self) -> String {
+        format!("/programmes/{:06}/{:08x}/", self.number, self.token)
+    }
+
+    fn host(self) -> String {
+        format!("station-{:02}.example", self.number % HOSTS)
+    }
+}
+
+/// How generated routes are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Form {
+    /// Each tests a path's beginning and names the pool of all backends.
+    Simple,
+    /// Each tests a host and a path's beginning and names one of 20 pools; every tenth writes a note, every
+    /// fiftieth has a limit.
+    Mixed,
+}
+
+impl Form {
+    fn text(self, routes: &[Route]) -> String {
+        // The ceilings on cost are those of small files.
+        let mut text = String::from("[cost]\nexpression = 100000\nrequest = 10000000\n");
+        if self == Form::Mixed {
+            for pool in 0..POOLS {
+                // Writing to memory does not fail.
+                let _ = writeln!(text, "[[pool]]\nname = 'pool-{pool:02}'\nwhen = 'instance.cell == {pool}'");
+            }
+        }
+        for route in routes {
+            self.write(&mut text, *route);
+        }
+        text
+    }
+
+    fn write(self, text: &mut String, route: Route) {
+        let (number, path, host) = (route.number, route.path(), route.host());
+        let _ = writeln!(text, "[[rule]]\nname = 'route-{number:06}'");
+        match self {
+            Form::Simple => {
+                let _ = writeln!(text, "when = 'request.path.startsWith(\"{path}\")'\npool = '\"any\"'");
+            }
+            Form::Mixed => {
+                let pool = number % POOLS;
+                let _ = writeln!(
+                    text,
+                    "when = 'request.host.orValue(\"\") == \"{host}\" && request.path.startsWith(\"{path}\")'"
+                );
+                let _ = writeln!(text, "pool = '\"pool-{pool:02}\"'");
+                if number % EVERY_NOTE == 0 {
+                    let _ = writeln!(text, "notes = {{ programme = '\"{number:06}\"' }}");
+                }
+                if number % EVERY_LIMIT == 0 {
+                    let _ = writeln!(
+                        text,
+                        "limit = {{ key = 'request.partner.orValue(\"\")', rate = 1000000, burst = 1000000 }}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+fn routes(size: u64, random: &mut Rand32) -> Vec<Route> {
+    (0..size).map(|number| Route { number, token: random.rand_u32() }).collect()
+}
+
+/// Routes of one form.
+pub struct ByRoutes {
+    form: Form,
+}
+
+impl ByRoutes {
+    /// Routes that test a path's beginning.
+    pub fn simple() -> ByRoutes {
+        ByRoutes { form: Form::Simple }
+    }
+
+    /// Routes that test a host and a path's beginning; some with notes and limits.
+    pub fn mixed() -> ByRoutes {
+        ByRoutes { form: Form::Mixed }
+    }
+
+    fn look_up_cost(
+        &self,
+        table: &mut RouteTable,
+        routes: &[Route],
+        random: &mut Rand32,
+    ) -> [Measurement; 2] {
+        let pick = |_| routes[random.rand_range(0..routes.len() as u32) as usize];
+        let targets: Vec<(String, String)> = (0..TARGETS)
+            .map(pick)
+            .map(|route: Route| (route.host(), format!("{}audio", route.path())))
+            .collect();
+        let mut look_up_all = || {
+            for number in 0..LOOK_UPS {
+                let (host, path) = &targets[(number % TARGETS) as usize];
+                table.look_up(&Target { host: Some(host), path });
+            }
+        };
+        // Once beforehand: buffers grow to their size.
+        look_up_all();
+        let ((), cost) = measure(look_up_all);
+        cost.each(LOOK_UPS).effort("look_up")
+    }
+}
+
+impl Experiment for ByRoutes {
+    fn name(&self) -> &'static str {
+        match self.form {
+            Form::Simple => "routes",
+            Form::Mixed => "routes-mixed",
+        }
+    }
+
+    fn description(&self) -> &'static str {
+        match self.form {
+            Form::Simple => "Routes that test a path's beginning and name the pool of all backends",
+            Form::Mixed => {
+                "Routes that test one of 50 hosts and a path's beginning and name one of 20 pools; every 10th has a \
+                 note, every 50th a limit"
+            }
+        }
+    }
+
+    fn axis(&self) -> &'static str {
+        "routes"
+    }
+
+    fn sizes(&self, quick: bool) -> Vec<u64> {
+        if quick {
+            QUICK_SIZES.to_vec()
+        } else {
+            SIZES.to_vec()
+        }
+    }
+
+    fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ExperimentError> {
+        let mut random = Rand32::new(seed);
+        let mut current = routes(size, &mut random);
+        let mut results = Vec::new();
+
+        let text = self.form.text(&current);
+        results.push(Measurement::counted("file_bytes", Unit::Bytes, text.len() as f64));
+        let before = resident();
+        let (table, cost) = measure(|| RouteTable::start(&text));
+        let mut table = table?;
+        results.extend(cost.measurements("start"));
+        let growth = resident().saturating_sub(before);
+        results.push(Measurement::timed("start_resident", Unit::Bytes, growth as f64));
+        results.extend(self.look_up_cost(&mut table, &current, &mut random));
+
+        let middle = current.len() / 2;
+        current[middle].token = random.rand_u32();
+        let text = self.form.text(&current);
+        let (replaced, cost) = measure(|| table.replace(&text));
+        replaced?;
+        results.extend(cost.measurements("one_changed"));
+
+        let others = routes(size, &mut random);
+        let text = self.form.text(&others);
+        let (replaced, cost) = measure(|| table.replace(&text));
+        replaced?;
+        results.extend(cost.measurements("all_changed"));
+        Ok(results)
+    }
+}
--- /dev/null
+++ b/crates/scale/src/experiments/traffic.rs
@@ -0,0 +1,56 @@
+//! Generated commands.
+
+use crate::experiment::{ExperimentError, Measurement};
+use crate::ingress::SimulatedIngress;
+use crate::probe::{measure, Cost};
+use driftgap::core::Command;
+use driftgap::settings::Platform;
+
+/// Ingresses that one tenant's commands come through: those of one zone of the target, 2,500 over 21.
+const SPREAD: u32 = 119;
+/// The plan without a quota, and the plans of tenants.
+const UNMETERED: &str = "unmetered";
+const PLANS: [&str; 4] = ["community", "district", "city", "national"];
+/// Commands over which the cost of one is averaged.
+const SAMPLES: u64 = 64;
+/// Between two of these, ms: the last one has its answer by then.
+const PAUSE_MS: f64 = 60.0;
+
+/// A command of a tenant. Its class has a long aim, so that the load ladder refuses none of it.
+///
+/// # Errors
+/// The ingress would refuse it as malformed.
+pub fn command(platform: &Platform, tenant: u64, id: u64) -> Result<Command, ExperimentError> {
+    of_plan(platform, tenant, id, PLANS[tenant as usize % PLANS.len()])
+}
+
+fn of_plan(platform: &Platform, tenant: u64, id: u64, plan: &str) -> Result<Command, ExperimentError> {
+    let ingresses = platform.module.gateways;
+    let (spread, first) = (SPREAD.min(ingresses), tenant % u64::from(ingresses));
+    let terms = format!("c=bulk-fetch,t={plan},d=1000,units=1,spread={spread},first={first}");
+    Command::new(platform, &format!("{tenant:016x}"), &id.to_string(), terms, None)
+        .map_err(|e| ExperimentError::Refused(e.to_string()))
+}
+
+/// What it costs to accept one command without a quota and to choose a backend for it.
+///
+/// # Errors
+/// The ingress refuses the command as malformed.
+pub fn choice_cost(ingress: &SimulatedIngress) -> Result<Vec<Measurement>, ExperimentError> {
+    let mut total = Cost::default();
+    for id in 0..SAMPLES {
+        let command = of_plan(ingress.hub().platform(), 1, id, UNMETERED)?;
+        let ((), cost) = measure(|| ingress.arrive(command));
+        total.cpu += cost.cpu;
+        total.allocations += cost.allocations;
+        ingress.advance(PAUSE_MS);
+    }
+    Ok(total.each(SAMPLES).effort("choice").to_vec())
+}
+
+/// What an idle second costs: timers alone.
+pub fn idle_cost(ingress: &SimulatedIngress) -> Vec<Measurement> {
+    const SECONDS: u64 = 4;
+    let ((), cost) = measure(|| ingress.advance(SECONDS as f64 * 1000.0));
+    cost.each(SECONDS).effort("idle_second").to_vec()
+}
--- /dev/null
+++ b/crates/scale/src/registry.rs
@@ -0,0 +1,23 @@
+//! The list of all experiments. A new one is added here and in `experiments`.
+
+use crate::experiment::Experiment;
+use crate::experiments::{backends, routes, services, tenants, zones};
+
+/// Every experiment, in the order in which they run.
+pub fn all() -> Vec<Box<dyn Experiment>> {
+    vec![
+        Box::new(backends::ByInventory),
+        Box::new(backends::ByDiscovery),
+        Box::new(services::ByServices),
+        Box::new(zones::ByZones),
+        Box::new(routes::ByRoutes::simple()),
+        Box::new(routes::ByRoutes::mixed()),
+        Box::new(tenants::ByTenants),
+        Box::new(tenants::ByTenantTurnover),
+    ]
+}
+
+/// The experiment of this name.
+pub fn find(name: &str) -> Option<Box<dyn Experiment>> {
+    all().into_iter().find(|experiment| experiment.name() == name)
+}
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -206,7 +206,11 @@
     Ok(answer)
 }
 
-fn take(hub: &Rc<Hub>, answer: &HttpAnswer) -> Result<u64, String> {
+/// Applies an answer of discovery's to the name table and the core; the version that is held from now on.
+///
+/// # Errors
+/// The status is not 200, or the body is no list; what is held stays.
+pub fn take(hub: &Rc<Hub>, answer: &HttpAnswer) -> Result<u64, String> {
     if answer.status != 200 {
         return Err(format!("status {}", answer.status));
     }
