driftgap-scale: tenants are measured behind a warm-up, idle seconds count to what is kept

Need: an ingress that has just started refuses some commands by its load ladder, and a refused tenant is not remembered, so that the first figures by tenants were too small. What idle seconds free was not taken off what is kept for good.

Change: 400 commands without a quota come first; known_refused says whether any tenant was refused. The four idle seconds count to kept_after_idle_heap.

--- a/crates/scale/src/experiments/tenants.rs
+++ b/crates/scale/src/experiments/tenants.rs
@@ -3,7 +3,7 @@
 
 use crate::experiment::{Experiment, ExperimentError, Measurement, Unit};
 use crate::experiments::fleet::Fleet;
-use crate::experiments::traffic::{command, idle_cost};
+use crate::experiments::traffic::{command, idle_seconds, unmetered_command, IDLE_SECONDS};
 use crate::ingress::{Deployment, SimulatedIngress};
 use crate::probe::measure;
 
@@ -20,15 +20,22 @@
 /// Time in which every tenant sends a command, ms, and the steps in which they do.
 const ROUND_MS: f64 = 1_000.0;
 const STEP_MS: f64 = 5.0;
+/// Commands of an ingress before it is measured.
+const WARM_UP_COMMANDS: u64 = 400;
 /// Time for the last answers and timers behind a round, ms.
 const SETTLING_MS: f64 = 3_000.0;
 /// Behind this long without a command an ingress has forgotten every tenant, ms: three of the longest windows.
 const FORGOTTEN_MS: f64 = 90_000.0;
 
+/// An ingress that has served commands for a while: before it knows how many are answered in a second, its load ladder
+/// refuses some.
 fn start(seed: u64) -> Result<SimulatedIngress, ExperimentError> {
     let ingress = SimulatedIngress::new(&Deployment::TARGET.config()?, seed)?;
     ingress.take_list(Fleet::new(BACKENDS, 1, 1, seed).whole_list(1))?;
-    ingress.advance(ROUND_MS);
+    for id in 0..WARM_UP_COMMANDS {
+        ingress.arrive(unmetered_command(ingress.hub().platform(), id)?);
+        ingress.advance(STEP_MS);
+    }
     Ok(ingress)
 }
 
@@ -75,6 +82,7 @@
         let ingress = start(seed)?;
         let mut results = Vec::new();
 
+        let before = ingress.traffic();
         let (met, known) = measure(|| {
             round(&ingress, size, ROUND_MS)?;
             ingress.advance(SETTLING_MS);
@@ -82,7 +90,10 @@
         });
         met?;
         results.extend(known.measurements("known"));
-        results.extend(idle_cost(&ingress));
+        let refused = ingress.traffic().refused - before.refused;
+        results.push(Measurement::counted("known_refused", Unit::Count, refused as f64));
+        let waited = idle_seconds(&ingress);
+        results.extend(waited.each(IDLE_SECONDS).effort("idle_second"));
 
         let before = ingress.traffic();
         let (met, active) = measure(|| round(&ingress, size, ROUND_MS));
@@ -95,7 +106,7 @@
         results.push(Measurement::counted("active_second_refused", Unit::Count, refused as f64));
 
         let ((), idle) = measure(|| ingress.advance(FORGOTTEN_MS));
-        let kept = known.heap + active.heap + idle.heap;
+        let kept = known.heap + waited.heap + active.heap + idle.heap;
         results.push(Measurement::counted("kept_after_idle_heap", Unit::Bytes, kept as f64));
         Ok(results)
     }
@@ -127,12 +138,13 @@
 
     fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ExperimentError> {
         let ingress = start(seed)?;
+        let before = ingress.traffic();
         let milliseconds = size as f64 / TURNOVER_RATE as f64 * 1_000.0;
         let (met, come) = measure(|| round(&ingress, size, milliseconds));
         met?;
         let ((), idle) = measure(|| ingress.advance(FORGOTTEN_MS));
         let kept = come.heap + idle.heap;
-        let refused = ingress.traffic().refused;
+        let refused = ingress.traffic().refused - before.refused;
         let mut results = come.measurements("come").to_vec();
         results.push(Measurement::counted("kept_after_idle_heap", Unit::Bytes, kept as f64));
         results.push(Measurement::counted("refused", Unit::Count, refused as f64));
--- a/crates/scale/src/experiments/traffic.rs
+++ b/crates/scale/src/experiments/traffic.rs
@@ -10,6 +10,7 @@
 const SPREAD: u32 = 119;
 /// The plan without a quota, and the plans of tenants.
 const UNMETERED: &str = "unmetered";
+const UNMETERED_TENANT: u64 = (1 << 33) - 1;
 const PLANS: [&str; 4] = ["community", "district", "city", "national"];
 /// Commands over which the cost of one is averaged.
 const SAMPLES: u64 = 64;
@@ -24,6 +25,14 @@
     of_plan(platform, tenant, id, PLANS[tenant as usize % PLANS.len()])
 }
 
+/// A command without a quota, of one tenant.
+///
+/// # Errors
+/// The ingress would refuse it as malformed.
+pub fn unmetered_command(platform: &Platform, id: u64) -> Result<Command, ExperimentError> {
+    of_plan(platform, UNMETERED_TENANT, id, UNMETERED)
+}
+
 fn of_plan(platform: &Platform, tenant: u64, id: u64, plan: &str) -> Result<Command, ExperimentError> {
     let ingresses = platform.module.gateways;
     let (spread, first) = (SPREAD.min(ingresses), tenant % u64::from(ingresses));
@@ -39,7 +48,7 @@
 pub fn choice_cost(ingress: &SimulatedIngress) -> Result<Vec<Measurement>, ExperimentError> {
     let mut total = Cost::default();
     for id in 0..SAMPLES {
-        let command = of_plan(ingress.hub().platform(), 1, id, UNMETERED)?;
+        let command = unmetered_command(ingress.hub().platform(), id)?;
         let ((), cost) = measure(|| ingress.arrive(command));
         total.cpu += cost.cpu;
         total.allocations += cost.allocations;
@@ -48,9 +57,16 @@
     Ok(total.each(SAMPLES).effort("choice").to_vec())
 }
 
+/// Seconds over which an idle one is averaged.
+pub const IDLE_SECONDS: u64 = 4;
+
+/// Lets [`IDLE_SECONDS`] pass without commands; what they cost together.
+pub fn idle_seconds(ingress: &SimulatedIngress) -> Cost {
+    let ((), cost) = measure(|| ingress.advance(IDLE_SECONDS as f64 * 1000.0));
+    cost
+}
+
 /// What an idle second costs: timers alone.
 pub fn idle_cost(ingress: &SimulatedIngress) -> Vec<Measurement> {
-    const SECONDS: u64 = 4;
-    let ((), cost) = measure(|| ingress.advance(SECONDS as f64 * 1000.0));
-    cost.each(SECONDS).effort("idle_second").to_vec()
+    idle_seconds(ingress).each(IDLE_SECONDS).effort("idle_second").to_vec()
 }
