driftgap-scale: what is counted, linear and negligible is said more exactly

Need: of a full run's 8 experiments one, tenants, had counts that differed between repeats (0.6% of the heap at 20,000 tenants): hash tables are seeded by chance, and 20,000 is where an ingress begins to forget tenants for others. Heaps of some hundred bytes at 95,000 backends were called not linear.

Change: a quantity is called counted where its repeats agree within 1%, and the file says by how much they differ (spread). Bytes under 4,096 at every size are no growth. Five repeats in a full run, three in a quick one.

--- a/crates/scale/src/experiment.rs
+++ b/crates/scale/src/experiment.rs
@@ -32,6 +32,15 @@
             Unit::Count => "",
         }
     }
+
+    /// Values under this are none: what grows by less does not grow.
+    pub fn negligible(self) -> f64 {
+        match self {
+            // Hash tables that had entries removed keep a little more or less by chance.
+            Unit::Bytes => 4096.0,
+            _ => 0.0,
+        }
+    }
 }
 
 /// One quantity at one size.
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -14,7 +14,7 @@
 /// Where results go by default.
 const OUT: &str = "target/scale";
 /// How often each size is measured by default, in a full and in a quick run.
-const REPEATS: (u32, u32) = (3, 2);
+const REPEATS: (u32, u32) = (5, 3);
 
 /// Measures what an ingress costs in heap, processor time and messages as a deployment grows.
 #[derive(Parser)]
--- a/crates/scale/src/report/table.rs
+++ b/crates/scale/src/report/table.rs
@@ -55,9 +55,12 @@
     )
 }
 
+/// Smaller values are what rounding leaves of 0.
+const LEAST: f64 = 1e-7;
+
 /// A number with four significant digits, with thousands apart.
 fn number(value: f64) -> String {
-    if value == 0.0 {
+    if value.abs() < LEAST {
         return "0".into();
     }
     let digits = 3 - value.abs().log10().floor() as i32;
--- a/crates/scale/src/results.rs
+++ b/crates/scale/src/results.rs
@@ -5,12 +5,17 @@
 use crate::machine::Machine;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::io::{Error, ErrorKind};
 use std::path::{Path, PathBuf};
 
 /// Version of both forms; it changes with any field that is taken away or means something else.
 pub const FORMAT: u32 = 1;
 
+/// Counted values may differ by this share between repeats: hash tables are seeded by chance, and one that had entries
+/// removed grows a little sooner or later.
+const EQUAL_WITHIN: f64 = 0.01;
+
 /// How and where an experiment was run.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Provenance {
@@ -78,10 +83,12 @@
     pub standard_error: f64,
     /// Residual standard error, in units.
     pub residual: f64,
-    /// Whether growth is linear: no point further from the line than a tenth of the largest.
+    /// Whether growth is linear: no point further from the line than a tenth of the largest, or nothing grows.
     pub linear: bool,
-    /// Whether the values are counted and were equal in all repeats.
+    /// Whether the values are counted and differed by no more than a hundredth between repeats.
     pub counted: bool,
+    /// The largest difference between two repeats of a size, as a share of the larger value.
+    pub spread: f64,
     /// Seed of the run.
     pub seed: u64,
 }
@@ -101,7 +108,7 @@
     first: &'a Measurement,
     sizes: Vec<u64>,
     points: Vec<f64>,
-    equal: bool,
+    spread: f64,
 }
 
 impl RunFile {
@@ -127,27 +134,25 @@
     }
 
     fn series<'a>(&'a self, first: &'a Measurement) -> Series<'a> {
-        let mut series = Series { first, sizes: Vec::new(), points: Vec::new(), equal: true };
+        let mut values: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
         for point in &self.points {
-            let Some(found) = point.measurements.iter().find(|m| m.quantity == first.quantity) else {
-                continue;
-            };
-            if series.sizes.last() == Some(&point.size) {
-                let known = series.points.len() - 1;
-                series.equal &= series.points[known] == found.value;
-                series.points[known] = series.points[known].min(found.value);
-            } else {
-                series.sizes.push(point.size);
-                series.points.push(found.value);
-            }
+            let found = point.measurements.iter().find(|measurement| measurement.quantity == first.quantity);
+            values.entry(point.size).or_default().extend(found.map(|found| found.value));
+        }
+        values.retain(|_, repeats| !repeats.is_empty());
+        Series {
+            first,
+            sizes: values.keys().copied().collect(),
+            points: values.values().map(|repeats| least(repeats)).collect(),
+            spread: values.values().map(|repeats| spread(repeats)).fold(0.0, f64::max),
         }
-        series
     }
 
     fn slope(&self, series: &Series<'_>) -> Result<Slope, FitError> {
         let sizes = series.sizes.iter().map(|size| *size as f64);
         let points: Vec<(f64, f64)> = sizes.zip(series.points.iter().copied()).collect();
         let line = Line::through(&points)?;
+        let negligible = series.points.iter().all(|value| value.abs() < series.first.unit.negligible());
         Ok(Slope {
             experiment: self.provenance.experiment.clone(),
             quantity: series.first.quantity.clone(),
@@ -159,13 +164,29 @@
             slope: line.slope,
             standard_error: line.standard_error,
             residual: line.residual,
-            linear: line.linear,
-            counted: series.first.counted && series.equal,
+            linear: line.linear || negligible,
+            counted: series.first.counted && series.spread <= EQUAL_WITHIN,
+            spread: series.spread,
             seed: self.provenance.seed,
         })
     }
 }
 
+fn least(values: &[f64]) -> f64 {
+    values.iter().copied().fold(f64::INFINITY, f64::min)
+}
+
+/// The largest difference between two values, as a share of the larger one.
+fn spread(values: &[f64]) -> f64 {
+    let largest = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    let difference = largest - least(values);
+    if difference > 0.0 {
+        difference / values.iter().map(|value| value.abs()).fold(0.0, f64::max)
+    } else {
+        0.0
+    }
+}
+
 impl Slope {
     /// Its line.
     pub fn line(&self) -> Line {
--- /dev/null
+++ b/crates/scale/tests/results.rs
@@ -0,0 +1,93 @@
+//! From raw points to slopes: which repeat counts, what is called counted, what is called linear.
+
+use driftgap_scale::experiment::{Measurement, Unit};
+use driftgap_scale::machine::Machine;
+use driftgap_scale::results::{Point, Provenance, RunFile, Slope, FORMAT};
+
+fn run(points: Vec<Point>) -> RunFile {
+    let provenance = Provenance {
+        format: FORMAT,
+        experiment: "example".into(),
+        description: "An example".into(),
+        axis: "things".into(),
+        seed: 3,
+        quick: true,
+        commit: "unknown".into(),
+        machine: Machine { cores: 1, memory_bytes: 1, load_average: 0.0 },
+    };
+    RunFile { provenance, points }
+}
+
+/// Points of one quantity: `value(size, repeat)` in two repeats of four sizes.
+fn slope(measurement: impl Fn(u64, u32) -> Measurement) -> Slope {
+    let sizes = [10, 30, 100, 300];
+    let repeats = sizes.iter().flat_map(|size| [0, 1].map(|repeat| (*size, repeat)));
+    let point = |(size, repeat)| Point {
+        size,
+        repeat,
+        peak_resident: 0,
+        measurements: vec![measurement(size, repeat)],
+    };
+    run(repeats.map(point).collect()).slopes().unwrap().slopes.remove(0)
+}
+
+#[test]
+fn of_timed_repeats_the_smallest_counts() {
+    let slope = slope(|size, repeat| {
+        Measurement::timed("cpu", Unit::Microseconds, 5.0 * size as f64 + f64::from(repeat) * 100.0)
+    });
+    assert_eq!(slope.points, [50.0, 150.0, 500.0, 1500.0]);
+    assert!((slope.slope - 5.0).abs() < 1e-9 && slope.linear && !slope.counted, "{slope:?}");
+    assert!((slope.spread - 100.0 / 150.0).abs() < 1e-9, "{slope:?}");
+}
+
+#[test]
+fn counts_that_differ_between_repeats_are_not_called_counted() {
+    let counts = |share: f64| {
+        slope(move |size, repeat| {
+            Measurement::counted("heap", Unit::Bytes, 1e6 * size as f64 * (1.0 + share * f64::from(repeat)))
+        })
+    };
+    assert!(counts(0.0).counted && counts(0.0).spread == 0.0);
+    assert!(counts(0.005).counted && counts(0.005).spread > 0.0);
+    assert!(!counts(0.02).counted);
+}
+
+#[test]
+fn what_is_negligible_does_not_count_as_growth() {
+    let heap = |most: f64| {
+        let value =
+            move |size, _| Measurement::counted("heap", Unit::Bytes, if size == 100 { most } else { 0.0 });
+        slope(value)
+    };
+    assert!(heap(500.0).linear);
+    assert!(!heap(50_000.0).linear);
+}
+
+#[test]
+fn slopes_have_a_stable_form() {
+    let slope = slope(|size, _| Measurement::counted("calls", Unit::Messages, 2.0 * size as f64));
+    let json = serde_json::to_value(&slope).unwrap();
+    let keys: Vec<&str> = json.as_object().unwrap().keys().map(String::as_str).collect();
+    let mut expected = [
+        "experiment",
+        "quantity",
+        "unit",
+        "axis",
+        "sizes",
+        "points",
+        "intercept",
+        "slope",
+        "standard_error",
+        "residual",
+        "linear",
+        "counted",
+        "spread",
+        "seed",
+    ];
+    expected.sort_unstable();
+    let mut keys = keys;
+    keys.sort_unstable();
+    assert_eq!(keys, expected);
+    assert_eq!((&json["unit"], &json["seed"]), (&"messages".into(), &3.into()));
+}
