driftgap-scale: hollow fleets by followers, ingresses and changes, and real ones to check

What a group costs by its followers and by changes a second, and what a fleet asks of the counter and of one backend, had no experiment: a few dozen processes are all that one machine bears, and the target is 2,500.

The hollow group runs the code of members and followers (peer, member, follower, frames) in one process: links are byte queues in memory, each frame is encoded, counted, delayed and decoded, disks are a wait, time is virtual. The hollow fleet runs the decision module behind its facade with its timers for many ingresses, with one counter and backends that note who comes. Seven experiments plug them into the tool: group-idle, group-document, changes-list, changes-document, counter-ingresses, counter-tenants, backend-seen. `driftgap-scale check` starts real members and followers on loopback, every link through a relay that counts frames and bytes, and sets both figures of each quantity side by side; all processes end with their guards.

--- /dev/null
+++ b/crates/scale/src/experiments/group.rs
@@ -0,0 +1,316 @@
+//! What a group costs by its followers and by changes a second: three members, each follower beside one of them, over
+//! links in memory.
+
+use crate::experiment::{Experiment, ExperimentError, Measurement, Unit};
+use crate::hollow::group::{Delay, GroupWorld, Load, WorldError};
+use crate::probe::measure;
+use driftgap_group::{Kind, Wish};
+
+const MEMBERS: usize = 3;
+const SIZES: [u64; 6] = [10, 30, 100, 300, 1_000, 2_500];
+const QUICK_SIZES: [u64; 4] = [10, 30, 100, 300];
+/// With a document at every follower: all of them share one process' memory.
+const DOCUMENT_SIZES: [u64; 5] = [10, 30, 100, 300, 1_000];
+/// Changes a second.
+const RATES: [u64; 4] = [1, 3, 10, 30];
+/// Followers beside the members while changes are made.
+const FOLLOWERS: usize = 30;
+/// Idle time that is measured, and time in which changes are made, s.
+const IDLE_SECONDS: u64 = 10;
+const CHANGING_SECONDS: u64 = 10;
+/// Behind the start, ms: all have their copies.
+const SETTLING_MS: f64 = 2_000.0;
+/// A change that is not with every follower by then never will be, ms.
+const IN_FORCE_MS: f64 = 20_000.0;
+/// A document of rules, bytes.
+const DOCUMENT_BYTES: usize = 100_000;
+/// Instances that are out before changes begin.
+const OUT_BEFORE: u64 = 50;
+
+impl From<WorldError> for ExperimentError {
+    fn from(error: WorldError) -> ExperimentError {
+        ExperimentError::Refused(error.to_string())
+    }
+}
+
+/// A group with followers that has settled.
+fn start(followers: usize, seed: u64) -> Result<GroupWorld, ExperimentError> {
+    let mut world = GroupWorld::start(MEMBERS, followers, seed)?;
+    world.run(SETTLING_MS)?;
+    Ok(world)
+}
+
+/// What all machines had done at one moment.
+struct Reading {
+    members: Vec<Load>,
+    followers: Vec<Load>,
+}
+
+impl Reading {
+    fn take(world: &GroupWorld) -> Reading {
+        Reading { members: world.member_loads().to_vec(), followers: world.follower_loads().to_vec() }
+    }
+
+    /// Loads since an earlier reading.
+    fn since(self, earlier: &Reading) -> Reading {
+        let since = |now: Vec<Load>, then: &[Load]| {
+            now.iter().zip(then).map(|(now, then)| now.since(*then)).collect()
+        };
+        Reading {
+            members: since(self.members, &earlier.members),
+            followers: since(self.followers, &earlier.followers),
+        }
+    }
+
+    /// The member beside the leader that has sent most.
+    fn busiest_follower_of(&self, leader: usize) -> Load {
+        let others =
+            self.members.iter().enumerate().filter(|(index, _)| *index != leader).map(|(_, load)| *load);
+        others.max_by_key(|load| load.sent.bytes).unwrap_or_default()
+    }
+}
+
+/// One machine's load as quantities for each of so many pieces of time or work.
+fn load(role: &str, load: Load, pieces: u64) -> Vec<Measurement> {
+    loads(role, &[load], pieces)
+}
+
+/// The mean of machines' loads.
+fn loads(role: &str, loads: &[Load], pieces: u64) -> Vec<Measurement> {
+    let share = (loads.len().max(1) as u64 * pieces) as f64;
+    let mean = |figure: &dyn Fn(&Load) -> f64| loads.iter().map(figure).sum::<f64>() / share;
+    let counted = |name: &str, unit, figure: &dyn Fn(&Load) -> f64| {
+        Measurement::counted(format!("{role}_{name}"), unit, mean(figure))
+    };
+    vec![
+        counted("sent_messages", Unit::Messages, &|load| load.sent.messages as f64),
+        counted("sent_bytes", Unit::Bytes, &|load| load.sent.bytes as f64),
+        counted("received_messages", Unit::Messages, &|load| load.received.messages as f64),
+        counted("received_bytes", Unit::Bytes, &|load| load.received.bytes as f64),
+        Measurement::timed(
+            format!("{role}_cpu"),
+            Unit::Microseconds,
+            mean(&|load| load.cpu.as_secs_f64() * 1e6),
+        ),
+    ]
+}
+
+/// The largest of all changes' delays, and the median of those to the last follower.
+fn delays(delays: &[Delay]) -> Vec<Measurement> {
+    let mut last: Vec<f64> = delays.iter().map(|delay| delay.last_ms).collect();
+    last.sort_by(f64::total_cmp);
+    let agreed = delays.iter().map(|delay| delay.agreed_ms).fold(0.0, f64::max);
+    let counted = |name: &str, value| Measurement::counted(name, Unit::Milliseconds, value);
+    vec![
+        counted("change_agreed_delay_max", agreed),
+        counted("change_last_follower_delay_median", last.get(last.len() / 2).copied().unwrap_or(0.0)),
+        counted("change_last_follower_delay_max", last.last().copied().unwrap_or(0.0)),
+    ]
+}
+
+/// Heap of the node that holds most, and of the mean of the rest.
+fn heap_of<T>(nodes: Vec<T>) -> Vec<f64> {
+    let freed = |node: T| -(measure(|| drop(node)).1.heap as f64) + std::mem::size_of::<T>() as f64;
+    nodes.into_iter().map(freed).collect()
+}
+
+fn heaps(world: GroupWorld, leader: usize) -> Vec<Measurement> {
+    let (members, followers) = world.into_nodes();
+    let (members, followers) = (heap_of(members), heap_of(followers));
+    let follower = followers.iter().sum::<f64>() / followers.len().max(1) as f64;
+    let others = members.iter().enumerate().filter(|(index, _)| *index != leader).map(|(_, heap)| *heap);
+    vec![
+        Measurement::counted("leader_heap", Unit::Bytes, members[leader]),
+        Measurement::counted("member_heap", Unit::Bytes, others.fold(0.0, f64::max)),
+        Measurement::counted("follower_heap", Unit::Bytes, follower),
+    ]
+}
+
+/// Followers of an idle group.
+pub struct IdleByFollowers;
+
+impl Experiment for IdleByFollowers {
+    fn name(&self) -> &'static str {
+        "group-idle"
+    }
+
+    fn description(&self) -> &'static str {
+        "A group of three members and its followers in an idle second: leader, busiest other member, mean follower"
+    }
+
+    fn axis(&self) -> &'static str {
+        "followers"
+    }
+
+    fn sizes(&self, quick: bool) -> Vec<u64> {
+        if quick {
+            QUICK_SIZES.to_vec()
+        } else {
+            SIZES.to_vec()
+        }
+    }
+
+    fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ExperimentError> {
+        let mut world = start(size as usize, seed)?;
+        let before = Reading::take(&world);
+        world.run(1_000.0 * IDLE_SECONDS as f64)?;
+        let idle = Reading::take(&world).since(&before);
+        let leader = world.leader()?;
+        let most = world.followers_by_member().into_iter().max().unwrap_or(0);
+        let mut results = vec![Measurement::counted("most_followers_of_a_member", Unit::Count, most as f64)];
+        results.extend(load("leader_second", idle.members[leader], IDLE_SECONDS));
+        results.extend(load("member_second", idle.busiest_follower_of(leader), IDLE_SECONDS));
+        results.extend(loads("follower_second", &idle.followers, IDLE_SECONDS));
+        results.extend(heaps(world, leader));
+        Ok(results)
+    }
+}
+
+/// One document put in force at every follower.
+pub struct DocumentByFollowers;
+
+impl Experiment for DocumentByFollowers {
+    fn name(&self) -> &'static str {
+        "group-document"
+    }
+
+    fn description(&self) -> &'static str {
+        "A document of 100 KB put in force in a group of three members and its followers, at 1 Gbit/s a machine"
+    }
+
+    fn axis(&self) -> &'static str {
+        "followers"
+    }
+
+    fn sizes(&self, quick: bool) -> Vec<u64> {
+        if quick {
+            QUICK_SIZES.to_vec()
+        } else {
+            DOCUMENT_SIZES.to_vec()
+        }
+    }
+
+    fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ExperimentError> {
+        let mut world = start(size as usize, seed)?;
+        world.take_largest_burst();
+        let before = Reading::take(&world);
+        world.ask(Wish::Write(Kind::Rules, 0, document(0)))?;
+        world.run_until_in_force(IN_FORCE_MS)?;
+        let change = Reading::take(&world).since(&before);
+        let leader = world.leader()?;
+        let burst = world.take_largest_burst();
+        let mut results = delays(&world.take_delays());
+        results.push(Measurement::counted("member_largest_burst", Unit::Bytes, burst as f64));
+        results.extend(load("leader_document", change.members[leader], 1));
+        results.extend(load("member_document", change.busiest_follower_of(leader), 1));
+        results.extend(loads("follower_document", &change.followers, 1));
+        results.extend(heaps(world, leader));
+        Ok(results)
+    }
+}
+
+/// A document in which one line tells which change made it.
+fn document(change: u64) -> Vec<u8> {
+    let mut bytes = vec![b'r'; DOCUMENT_BYTES];
+    let line = format!("change {change:08}\n");
+    bytes[..line.len()].copy_from_slice(line.as_bytes());
+    bytes
+}
+
+/// What is changed, again and again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Changed {
+    /// An instance is taken out, or put back.
+    ListEntry,
+    /// One line of a document of rules.
+    Document,
+}
+
+/// Changes a second, of one kind.
+pub struct ByChanges(Changed);
+
+impl ByChanges {
+    /// Instances are taken out and put back.
+    pub fn of_list_entries() -> ByChanges {
+        ByChanges(Changed::ListEntry)
+    }
+
+    /// One line of a document of rules changes.
+    pub fn of_documents() -> ByChanges {
+        ByChanges(Changed::Document)
+    }
+
+    /// The change of this number.
+    fn wish(&self, world: &GroupWorld, number: u64) -> Result<Wish, ExperimentError> {
+        let instance = instance(number / 2);
+        Ok(match self.0 {
+            Changed::ListEntry if number.is_multiple_of(2) => Wish::Suspend(instance),
+            Changed::ListEntry => Wish::Restore(instance),
+            Changed::Document => {
+                let held = world.state()?.documents.get(&Kind::Rules).map_or(0, |document| document.number);
+                Wish::Write(Kind::Rules, held, document(number))
+            }
+        })
+    }
+}
+
+fn instance(number: u64) -> String {
+    format!("instance-{number:06}")
+}
+
+impl Experiment for ByChanges {
+    fn name(&self) -> &'static str {
+        match self.0 {
+            Changed::ListEntry => "changes-list",
+            Changed::Document => "changes-document",
+        }
+    }
+
+    fn description(&self) -> &'static str {
+        match self.0 {
+            Changed::ListEntry => {
+                "Instances taken out or put back, 50 being out, with 30 followers: cost of a second"
+            }
+            Changed::Document => {
+                "Changes of one line of a 100 KB document, with 30 followers: cost of a second"
+            }
+        }
+    }
+
+    fn axis(&self) -> &'static str {
+        "changes a second"
+    }
+
+    fn sizes(&self, _quick: bool) -> Vec<u64> {
+        RATES.to_vec()
+    }
+
+    fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ExperimentError> {
+        let mut world = start(FOLLOWERS, seed)?;
+        for number in 0..OUT_BEFORE {
+            world.ask(Wish::Suspend(instance(1_000_000 + number)))?;
+            world.run_until_in_force(IN_FORCE_MS)?;
+        }
+        world.take_delays();
+        let before = Reading::take(&world);
+        let began = world.now_ms();
+        let changes = size * CHANGING_SECONDS;
+        for number in 0..changes {
+            let wish = self.wish(&world, number)?;
+            world.ask(wish)?;
+            let due = began + 1_000.0 * (number + 1) as f64 / size as f64;
+            world.run(due - world.now_ms())?;
+        }
+        let load_of = Reading::take(&world).since(&before);
+        world.run_until_in_force(IN_FORCE_MS)?;
+        let leader = world.leader()?;
+        let made = world.take_delays();
+        let mut results = vec![Measurement::counted("changes_in_force", Unit::Count, made.len() as f64)];
+        results.extend(delays(&made));
+        results.extend(load("leader_second", load_of.members[leader], CHANGING_SECONDS));
+        results.extend(load("member_second", load_of.busiest_follower_of(leader), CHANGING_SECONDS));
+        results.extend(loads("follower_second", &load_of.followers, CHANGING_SECONDS));
+        results.extend(heaps(world, leader));
+        Ok(results)
+    }
+}
--- a/crates/scale/src/experiments/mod.rs
+++ b/crates/scale/src/experiments/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod backends;
 pub mod fleet;
+pub mod group;
+pub mod ingresses;
 pub mod routes;
 pub mod services;
 pub mod tenants;
--- /dev/null
+++ b/crates/scale/src/hollow/gateways/settings.rs
@@ -0,0 +1,52 @@
+//! What hollow ingresses are told at their start.
+
+use driftgap::{Class, Effect, Group, Plan, Settings};
+
+/// Most units that can be saved up, in seconds of a quota.
+const BURST_SECONDS: f64 = 2.0;
+
+/// Settings of one ingress among so many, with one class and one plan of so many units a second.
+pub(super) fn settings(ingresses: u32, position: u32, quota: f64) -> Settings {
+    let class = Class {
+        aim: 0.5,
+        deadline: 2.0,
+        effect: Effect::Safe,
+        group: Group::All,
+        window: 1.0,
+        late_share: 0.0,
+        worth: 1.0,
+    };
+    let plan = Plan {
+        rate: quota,
+        burst: BURST_SECONDS * quota,
+        at_once: 0,
+        excess_worth: 0.0,
+        over_cost: 1.0,
+        ceiling_rate: 0.0,
+        ceiling_burst: 0.0,
+    };
+    Settings {
+        gateways: ingresses,
+        position,
+        zone: 0,
+        classes: vec![class],
+        plans: vec![plan],
+        report: Vec::new(),
+        report_by_probe: false,
+        list_on_request: false,
+        may_probe: true,
+        may_cancel: true,
+        second_copies: false,
+        counter: true,
+        counter_timeout: 0.1,
+        settled_later: false,
+        most_units: 4.0,
+        max_attempts: 4,
+        max_retry_after: 2.0,
+        resolution: 0.002,
+        cold_share: 0.2,
+        warm_up: 15.0,
+        overload_factor: 3.0,
+        tip_after: 2.0,
+    }
+}
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -6,17 +6,21 @@
 //! plots, and [`results`] holds the JSON forms of all of it.
 //!
 //! The measured code is that of the `driftgap` library; only sockets, files' locations and the waiting between two
-//! timers are simulated ([`ingress`]).
+//! timers are simulated ([`ingress`]). Fleets of hundreds of ingresses share one process ([`hollow`]); real processes check
+//! that these tell the truth ([`check`], [`real`]).
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod check;
 pub mod experiment;
 pub mod experiments;
 pub mod fit;
+pub mod hollow;
 pub mod ingress;
 pub mod machine;
 pub mod probe;
+pub mod real;
 pub mod registry;
 pub mod report;
 pub mod results;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -6,7 +6,7 @@
 use driftgap_scale::experiment::Experiment;
 use driftgap_scale::report::{self, Folders, TABLES};
 use driftgap_scale::run::{measure_point, run, Plan};
-use driftgap_scale::{registry, results};
+use driftgap_scale::{check, registry, results};
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -60,6 +60,21 @@
         #[arg(long)]
         slopes: Option<PathBuf>,
     },
+    /// Compares the hollow group with one of real processes on loopback, and writes both figures of each quantity.
+    Check {
+        /// The program; by default the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// Followers beside the three members, a process each.
+        #[arg(long, value_delimiter = ',', default_value = "1,3,10,30")]
+        followers: Vec<u64>,
+        /// Seed of the hollow group.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Folder of the result file.
+        #[arg(long, default_value = OUT)]
+        out: PathBuf,
+    },
     /// Measures one size in this process and prints it as JSON.
     #[command(hide = true)]
     Measure {
@@ -108,6 +123,22 @@
     Ok(())
 }
 
+fn check_hollow(program: Option<PathBuf>, followers: &[u64], seed: u64, out: &Path) -> Result<()> {
+    let program = match program {
+        Some(program) => program,
+        None => std::env::current_exe()?.with_file_name("driftgap"),
+    };
+    let file = check::group_idle(&program, followers, seed)?;
+    for row in &file.rows {
+        println!("{row}");
+    }
+    std::fs::create_dir_all(out)?;
+    let path = out.join(check::FILE);
+    results::write(&path, &file)?;
+    println!("{}", path.display());
+    Ok(())
+}
+
 fn measure(name: &str, size: u64, seed: u64, repeat: u32) -> Result<()> {
     let point: results::Point = measure_point(find(name)?.as_ref(), size, seed, repeat)?;
     println!("{}", serde_json::to_string(&point)?);
@@ -125,6 +156,7 @@
             Ok(())
         }
         Action::Report { results, out, slopes } => write_report(&results, out, slopes),
+        Action::Check { program, followers, seed, out } => check_hollow(program, &followers, seed, &out),
         Action::Measure { experiment, size, seed, repeat } => measure(&experiment, size, seed, repeat),
     }
 }
--- a/crates/scale/src/registry.rs
+++ b/crates/scale/src/registry.rs
@@ -1,7 +1,7 @@
 //! The list of all experiments. A new one is added here and in `experiments`.
 
 use crate::experiment::Experiment;
-use crate::experiments::{backends, routes, services, tenants, zones};
+use crate::experiments::{backends, group, ingresses, routes, services, tenants, zones};
 
 /// Every experiment, in the order in which they run.
 pub fn all() -> Vec<Box<dyn Experiment>> {
@@ -14,6 +14,13 @@
         Box::new(routes::ByRoutes::mixed()),
         Box::new(tenants::ByTenants),
         Box::new(tenants::ByTenantTurnover),
+        Box::new(group::IdleByFollowers),
+        Box::new(group::DocumentByFollowers),
+        Box::new(group::ByChanges::of_list_entries()),
+        Box::new(group::ByChanges::of_documents()),
+        Box::new(ingresses::CounterByIngresses),
+        Box::new(ingresses::CounterByTenants),
+        Box::new(ingresses::BackendByIngresses),
     ]
 }
 
