--- a/crates/scale/src/real/group.rs
+++ b/crates/scale/src/real/group.rs
@@ -86,11 +86,14 @@
             group.write_files(place)?;
         }
         group.begin()?;
-        for place in 0..MEMBERS + followers {
-            let process = Process::start(&mut group.command(place)?)?;
-            group.processes.push(process);
+        // Followers that come before all members vote would all stay beside the first one.
+        for places in [0..MEMBERS, MEMBERS..MEMBERS + followers] {
+            for place in places {
+                let process = Process::start(&mut group.command(place)?)?;
+                group.processes.push(process);
+            }
+            group.await_whole()?;
         }
-        group.await_whole()?;
         sleep(SETTLING);
         Ok(group)
     }
