Name table: what has left is forgotten in one pass over the inventory

For each instance the table searched the whole inventory.

Change: the instances that have left are gathered first; those that the inventory names are taken out of them in one pass. Nothing is built where none has left. Instances are a part of the numbers, so that what is dropped is the same.

--- a/src/name_table.rs
+++ b/src/name_table.rs
@@ -93,10 +93,16 @@
     /// Drops what is held of instances that have left. Guards memory: through a long day new ones come under new
     /// names without end.
     pub fn forget(&mut self, left: impl Fn(InstanceId) -> bool) {
-        let listed = |id: InstanceId| self.inventory.iter().any(|e| e.host == id);
-        self.numbers.retain(|_, id| listed(*id) || !left(*id));
-        let numbers: HashSet<InstanceId> = self.numbers.values().copied().collect();
-        self.instances.retain(|id, _| numbers.contains(id));
+        let mut gone: HashSet<InstanceId> = self.numbers.values().copied().filter(|id| left(*id)).collect();
+        if gone.is_empty() {
+            return;
+        }
+        // One pass over the inventory for all of them: a search for each would take the square of their number.
+        for entry in &self.inventory {
+            gone.remove(&entry.host);
+        }
+        self.numbers.retain(|_, id| !gone.contains(id));
+        self.instances.retain(|id, _| !gone.contains(id));
     }
 
     /// Instances held.
@@ -264,4 +270,34 @@
         let empty = serde_json::json!({"version": 1, "full": true, "servers": []});
         assert_eq!(table.take(&empty).unwrap().entries, vec![mine]);
     }
+
+    #[test]
+    fn what_the_inventory_names_is_kept_whoever_says_that_it_has_left() {
+        let mut table = NameTable::new(vec![]);
+        let instance = |name: &str| Instance {
+            name: name.into(),
+            addr: "127.0.0.1:1".parse().unwrap(),
+            speaks: Speaks::Resp,
+            labels: Vec::new(),
+        };
+        let ids = ["mine", "told", "gone"].map(|name| {
+            let id = table.number(name);
+            table.place(id, instance(name));
+            id
+        });
+        let mine = HostEntry {
+            host: ids[0],
+            zone: 0,
+            cell: 0,
+            state: HostState::Ready,
+            size: 1.0,
+            started: 0.0,
+            pools: ALL_HOSTS,
+        };
+        table.keep_inventory(&[mine]);
+        table.forget(|id| id != ids[1]);
+        assert_eq!(ids.map(|id| table.instance(id).is_some()), [true, true, false]);
+        assert_eq!((table.len(), table.number("mine"), table.number("told")), (2, ids[0], ids[1]));
+        assert!(!ids.contains(&table.number("gone")), "its number is not given again");
+    }
 }
