driftgap-scale: heap of members by changes made; changes have a module of their own

A member's log keeps entries by number, whatever their size: what that holds of changed documents had no figure. The experiment changes-kept makes so many changes of a 10 KB document, one after the other, and weighs the members. Experiments by changes move from the group's module into `changes`; their sizes, names and counts stay.

--- a/crates/scale/src/experiments/group.rs
+++ b/crates/scale/src/experiments/group.rs
@@ -1,4 +1,4 @@
-//! What a group costs by its followers and by changes a second: three members, each follower beside one of them, over
+//! What a group costs by its followers: three members, each follower beside one of them, over
 //! links in memory.
 
 use crate::experiment::{Experiment, ExperimentError, Measurement, Unit};
@@ -11,21 +11,14 @@
 const QUICK_SIZES: [u64; 4] = [10, 30, 100, 300];
 /// With a document at every follower: all of them share one process' memory.
 const DOCUMENT_SIZES: [u64; 5] = [10, 30, 100, 300, 1_000];
-/// Changes a second.
-const RATES: [u64; 4] = [1, 3, 10, 30];
-/// Followers beside the members while changes are made.
-const FOLLOWERS: usize = 30;
-/// Idle time that is measured, and time in which changes are made, s.
+/// Idle time that is measured, s.
 const IDLE_SECONDS: u64 = 10;
-const CHANGING_SECONDS: u64 = 10;
 /// Behind the start, ms: all have their copies.
 const SETTLING_MS: f64 = 2_000.0;
 /// A change that is not with every follower by then never will be, ms.
-const IN_FORCE_MS: f64 = 20_000.0;
+pub(super) const IN_FORCE_MS: f64 = 20_000.0;
 /// A document of rules, bytes.
-const DOCUMENT_BYTES: usize = 100_000;
-/// Instances that are out before changes begin.
-const OUT_BEFORE: u64 = 50;
+pub(super) const DOCUMENT_BYTES: usize = 100_000;
 
 impl From<WorldError> for ExperimentError {
     fn from(error: WorldError) -> ExperimentError {
@@ -34,25 +27,25 @@
 }
 
 /// A group with followers that has settled.
-fn start(followers: usize, seed: u64) -> Result<GroupWorld, ExperimentError> {
+pub(super) fn start(followers: usize, seed: u64) -> Result<GroupWorld, ExperimentError> {
     let mut world = GroupWorld::start(MEMBERS, followers, seed)?;
     world.run(SETTLING_MS)?;
     Ok(world)
 }
 
 /// What all machines had done at one moment.
-struct Reading {
-    members: Vec<Load>,
-    followers: Vec<Load>,
+pub(super) struct Reading {
+    pub(super) members: Vec<Load>,
+    pub(super) followers: Vec<Load>,
 }
 
 impl Reading {
-    fn take(world: &GroupWorld) -> Reading {
+    pub(super) fn take(world: &GroupWorld) -> Reading {
         Reading { members: world.member_loads().to_vec(), followers: world.follower_loads().to_vec() }
     }
 
     /// Loads since an earlier reading.
-    fn since(self, earlier: &Reading) -> Reading {
+    pub(super) fn since(self, earlier: &Reading) -> Reading {
         let since = |now: Vec<Load>, then: &[Load]| {
             now.iter().zip(then).map(|(now, then)| now.since(*then)).collect()
         };
@@ -63,7 +56,7 @@
     }
 
     /// The member beside the leader that has sent most.
-    fn busiest_follower_of(&self, leader: usize) -> Load {
+    pub(super) fn busiest_follower_of(&self, leader: usize) -> Load {
         let others =
             self.members.iter().enumerate().filter(|(index, _)| *index != leader).map(|(_, load)| *load);
         others.max_by_key(|load| load.sent.bytes).unwrap_or_default()
@@ -71,12 +64,12 @@
 }
 
 /// One machine's load as quantities for each of so many pieces of time or work.
-fn load(role: &str, load: Load, pieces: u64) -> Vec<Measurement> {
+pub(super) fn load(role: &str, load: Load, pieces: u64) -> Vec<Measurement> {
     loads(role, &[load], pieces)
 }
 
 /// The mean of machines' loads.
-fn loads(role: &str, loads: &[Load], pieces: u64) -> Vec<Measurement> {
+pub(super) fn loads(role: &str, loads: &[Load], pieces: u64) -> Vec<Measurement> {
     let share = (loads.len().max(1) as u64 * pieces) as f64;
     let mean = |figure: &dyn Fn(&Load) -> f64| loads.iter().map(figure).sum::<f64>() / share;
     let counted = |name: &str, unit, figure: &dyn Fn(&Load) -> f64| {
@@ -96,7 +89,7 @@
 }
 
 /// The largest of all changes' delays, and the median of those to the last follower.
-fn delays(delays: &[Delay]) -> Vec<Measurement> {
+pub(super) fn delays(delays: &[Delay]) -> Vec<Measurement> {
     let mut last: Vec<f64> = delays.iter().map(|delay| delay.last_ms).collect();
     last.sort_by(f64::total_cmp);
     let agreed = delays.iter().map(|delay| delay.agreed_ms).fold(0.0, f64::max);
@@ -114,7 +107,7 @@
     nodes.into_iter().map(freed).collect()
 }
 
-fn heaps(world: GroupWorld, leader: usize) -> Vec<Measurement> {
+pub(super) fn heaps(world: GroupWorld, leader: usize) -> Vec<Measurement> {
     let (members, followers) = world.into_nodes();
     let (members, followers) = (heap_of(members), heap_of(followers));
     let follower = followers.iter().sum::<f64>() / followers.len().max(1) as f64;
@@ -194,7 +187,7 @@
         let mut world = start(size as usize, seed)?;
         world.take_largest_burst();
         let before = Reading::take(&world);
-        world.ask(Wish::Write(Kind::Rules, 0, document(0)))?;
+        world.ask(Wish::Write(Kind::Rules, 0, document(DOCUMENT_BYTES, 0)))?;
         world.run_until_in_force(IN_FORCE_MS)?;
         let change = Reading::take(&world).since(&before);
         let leader = world.leader()?;
@@ -209,108 +202,10 @@
     }
 }
 
-/// A document in which one line tells which change made it.
-fn document(change: u64) -> Vec<u8> {
-    let mut bytes = vec![b'r'; DOCUMENT_BYTES];
+/// A document of so many bytes in which one line tells which change made it.
+pub(super) fn document(length: usize, change: u64) -> Vec<u8> {
+    let mut bytes = vec![b'r'; length];
     let line = format!("change {change:08}\n");
     bytes[..line.len()].copy_from_slice(line.as_bytes());
     bytes
 }
-
-/// What is changed, again and again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Changed {
-    /// An instance is taken out, or put back.
-    ListEntry,
-    /// One line of a document of rules.
-    Document,
-}
-
-/// Changes a second, of one kind.
-pub struct ByChanges(Changed);
-
-impl ByChanges {
-    /// Instances are taken out and put back.
-    pub fn of_list_entries() -> ByChanges {
-        ByChanges(Changed::ListEntry)
-    }
-
-    /// One line of a document of rules changes.
-    pub fn of_documents() -> ByChanges {
-        ByChanges(Changed::Document)
-    }
-
-    /// The change of this number.
-    fn wish(&self, world: &GroupWorld, number: u64) -> Result<Wish, ExperimentError> {
-        let instance = instance(number / 2);
-        Ok(match self.0 {
-            Changed::ListEntry if number.is_multiple_of(2) => Wish::Suspend(instance),
-            Changed::ListEntry => Wish::Restore(instance),
-            Changed::Document => {
-                let held = world.state()?.documents.get(&Kind::Rules).map_or(0, |document| document.number);
-                Wish::Write(Kind::Rules, held, document(number))
-            }
-        })
-    }
-}
-
-fn instance(number: u64) -> String {
-    format!("instance-{number:06}")
-}
-
-impl Experiment for ByChanges {
-    fn name(&self) -> &'static str {
-        match self.0 {
-            Changed::ListEntry => "changes-list",
-            Changed::Document => "changes-document",
-        }
-    }
-
-    fn description(&self) -> &'static str {
-        match self.0 {
-            Changed::ListEntry => {
-                "Instances taken out or put back, 50 being out, with 30 followers: cost of a second"
-            }
-            Changed::Document => {
-                "Changes of one line of a 100 KB document, with 30 followers: cost of a second"
-            }
-        }
-    }
-
-    fn axis(&self) -> &'static str {
-        "changes a second"
-    }
-
-    fn sizes(&self, _quick: bool) -> Vec<u64> {
-        RATES.to_vec()
-    }
-
-    fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ExperimentError> {
-        let mut world = start(FOLLOWERS, seed)?;
-        for number in 0..OUT_BEFORE {
-            world.ask(Wish::Suspend(instance(1_000_000 + number)))?;
-            world.run_until_in_force(IN_FORCE_MS)?;
-        }
-        world.take_delays();
-        let before = Reading::take(&world);
-        let began = world.now_ms();
-        let changes = size * CHANGING_SECONDS;
-        for number in 0..changes {
-            let wish = self.wish(&world, number)?;
-            world.ask(wish)?;
-            let due = began + 1_000.0 * (number + 1) as f64 / size as f64;
-            world.run(due - world.now_ms())?;
-        }
-        let load_of = Reading::take(&world).since(&before);
-        world.run_until_in_force(IN_FORCE_MS)?;
-        let leader = world.leader()?;
-        let made = world.take_delays();
-        let mut results = vec![Measurement::counted("changes_in_force", Unit::Count, made.len() as f64)];
-        results.extend(delays(&made));
-        results.extend(load("leader_second", load_of.members[leader], CHANGING_SECONDS));
-        results.extend(load("member_second", load_of.busiest_follower_of(leader), CHANGING_SECONDS));
-        results.extend(loads("follower_second", &load_of.followers, CHANGING_SECONDS));
-        results.extend(heaps(world, leader));
-        Ok(results)
-    }
-}
--- a/crates/scale/src/experiments/mod.rs
+++ b/crates/scale/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! The experiments, one module a topic. `registry` lists them.
 
 pub mod backends;
+pub mod changes;
 pub mod fleet;
 pub mod group;
 pub mod ingresses;
--- a/crates/scale/src/registry.rs
+++ b/crates/scale/src/registry.rs
@@ -1,7 +1,7 @@
 //! The list of all experiments. A new one is added here and in `experiments`.
 
 use crate::experiment::Experiment;
-use crate::experiments::{backends, group, ingresses, routes, services, tenants, zones};
+use crate::experiments::{backends, changes, group, ingresses, routes, services, tenants, zones};
 
 /// Every experiment, in the order in which they run.
 pub fn all() -> Vec<Box<dyn Experiment>> {
@@ -16,8 +16,9 @@
         Box::new(tenants::ByTenantTurnover),
         Box::new(group::IdleByFollowers),
         Box::new(group::DocumentByFollowers),
-        Box::new(group::ByChanges::of_list_entries()),
-        Box::new(group::ByChanges::of_documents()),
+        Box::new(changes::ByChanges::of_list_entries()),
+        Box::new(changes::ByChanges::of_documents()),
+        Box::new(changes::KeptByChanges),
         Box::new(ingresses::CounterByIngresses),
         Box::new(ingresses::CounterByTenants),
         Box::new(ingresses::BackendByIngresses),
