--- a/src/node.rs
+++ b/src/node.rs
@@ -164,10 +164,12 @@
         };
         let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
         let (taken_over, bytes) = (rules.report().taken_over, rules.heap_bytes());
+        let begun = self.hub.now();
         match self.hub.put_rules(rules) {
             Ok(replaced) => {
+                let held_ms = self.hub.now() - begun;
                 retired.leave(replaced);
-                tracing::info!(rules = count, taken_over, cost, unindexed, bytes, "rules replaced");
+                tracing::info!(rules = count, taken_over, cost, unindexed, bytes, held_ms, "rules replaced");
                 if in_group {
                     return Some(text);
                 }
