--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod hollow;
 pub mod ingress;
 pub mod machine;
+pub mod page;
 pub mod probe;
 pub mod real;
 pub mod registry;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -2,8 +2,9 @@
 
 #![forbid(unsafe_code)]
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use driftgap_scale::experiment::Experiment;
+use driftgap_scale::page::PageFiles;
 use driftgap_scale::report::{self, Folders, TABLES};
 use driftgap_scale::run::{measure_point, run, Plan};
 use driftgap_scale::{check, registry, results};
@@ -60,6 +61,14 @@
         #[arg(long)]
         slopes: Option<PathBuf>,
     },
+    /// Makes the tables of the capacity page from its files, or checks that they follow from these.
+    Page {
+        #[command(flatten)]
+        mode: PageMode,
+        /// Root of the repository.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
     /// Compares the hollow group with one of real processes on loopback, and writes both figures of each quantity.
     Check {
         /// The program; by default the one beside this.
@@ -88,6 +97,18 @@
     },
 }
 
+/// What is done with the capacity page: exactly one of these.
+#[derive(Args)]
+#[group(required = true, multiple = false)]
+struct PageMode {
+    /// Writes the page with its tables made anew.
+    #[arg(long)]
+    write: bool,
+    /// Fails where the page differs from what its files give.
+    #[arg(long)]
+    check: bool,
+}
+
 type Result<T> = std::result::Result<T, Box<dyn Error>>;
 
 fn find(name: &str) -> Result<Box<dyn Experiment>> {
@@ -123,6 +144,17 @@
     Ok(())
 }
 
+fn page(mode: &PageMode, root: &Path) -> Result<()> {
+    let files = PageFiles::of_repository(root);
+    if mode.write {
+        let changed = files.write()?;
+        println!("{}: {}", files.page.display(), if changed { "written" } else { "unchanged" });
+    } else {
+        files.check()?;
+    }
+    Ok(())
+}
+
 fn check_hollow(program: Option<PathBuf>, followers: &[u64], seed: u64, out: &Path) -> Result<()> {
     let program = match program {
         Some(program) => program,
@@ -156,6 +188,7 @@
             Ok(())
         }
         Action::Report { results, out, slopes } => write_report(&results, out, slopes),
+        Action::Page { mode, root } => page(&mode, &root),
         Action::Check { program, followers, seed, out } => check_hollow(program, &followers, seed, &out),
         Action::Measure { experiment, size, seed, repeat } => measure(&experiment, size, seed, repeat),
     }
