--- /dev/null
+++ b/crates/routes/src/rule.rs
@@ -0,0 +1,219 @@
+//! A rule as it is kept: its compiled test, and what it does, which rules that do the same share.
+
+use crate::content::ContentHash;
+use crate::limit::{Allowance, Limit};
+use driftgap_expr::{Compiled, Expression, Interner, SelectKey};
+use std::collections::HashSet;
+use std::fmt;
+use std::hash::Hash;
+use std::sync::Arc;
+
+/// Bytes that the tables by which expressions are shared take for one of its own, on average: an entry for it and
+/// one for a text of its, of 24 and 16 bytes, at a load between 7/16 and 7/8.
+const TABLE_BYTES: usize = 68;
+/// Bytes that an `Arc` takes besides its value.
+const ARC_HEADER: usize = 2 * size_of::<usize>();
+
+/// What an expression of a rule is for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum PartName {
+    Nack,
+    Pool,
+    Note(Arc<str>),
+    Class,
+    Plan,
+    Partner,
+    Id,
+    Units,
+    Deadline,
+    Spread,
+    First,
+    Term(Arc<str>),
+    LimitKey,
+}
+
+impl fmt::Display for PartName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            PartName::Nack => "nack",
+            PartName::Pool => "pool",
+            PartName::Note(name) | PartName::Term(name) => name,
+            PartName::Class => "class",
+            PartName::Plan => "plan",
+            PartName::Partner => "partner",
+            PartName::Id => "id",
+            PartName::Units => "units",
+            PartName::Deadline => "deadline",
+            PartName::Spread => "spread",
+            PartName::First => "first",
+            PartName::LimitKey => "limit.key",
+        })
+    }
+}
+
+/// Expression expressions with what they are for, in the order of their evaluation.
+pub(crate) type Parts = Vec<(PartName, Expression)>;
+
+/// A limit as the file has it: one that is equal under the same rule keeps its state when the file is read again.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct LimitSpec {
+    /// The text of its key.
+    pub(crate) key: Box<str>,
+    pub(crate) allowance: Allowance,
+    pub(crate) keys: usize,
+}
+
+/// A rule whose expressions are checked and not yet compiled.
+pub(crate) struct CheckedRule {
+    pub(crate) name: String,
+    pub(crate) when: Expression,
+    pub(crate) parts: Parts,
+    pub(crate) limit: Option<LimitSpec>,
+    pub(crate) goes_on: bool,
+}
+
+/// An expression of a rule.
+#[derive(PartialEq, Eq, Hash)]
+pub(crate) struct Part {
+    pub(crate) name: PartName,
+    pub(crate) expression: Compiled,
+}
+
+/// What a rule does.
+#[derive(PartialEq, Eq, Hash)]
+pub(crate) struct Body {
+    /// In the order of their evaluation.
+    pub(crate) parts: Box<[Arc<Part>]>,
+}
+
+impl Body {
+    /// Bytes on the heap, with its share of the parts that others have as well.
+    fn heap_bytes(&self) -> usize {
+        let parts = self.parts.iter().map(|part| size_of::<Arc<Part>>() + share(part, part.heap_bytes()));
+        ARC_HEADER + size_of::<Body>() + parts.sum::<usize>()
+    }
+}
+
+impl Part {
+    fn heap_bytes(&self) -> usize {
+        ARC_HEADER + size_of::<Part>() + self.expression.heap_bytes() + TABLE_BYTES
+    }
+}
+
+/// What each of those who hold a value has of its bytes. The table by which they share it holds it as well.
+fn share<T>(held: &Arc<T>, bytes: usize) -> usize {
+    let holders = Arc::strong_count(held).saturating_sub(1).max(1);
+    bytes.div_ceil(holders)
+}
+
+/// A rule's limit with its state.
+pub(crate) struct RuleLimit {
+    pub(crate) spec: LimitSpec,
+    pub(crate) limit: Arc<Limit>,
+}
+
+/// A rule.
+pub(crate) struct Rule {
+    pub(crate) name: Box<str>,
+    pub(crate) when: Compiled,
+    pub(crate) key: SelectKey,
+    pub(crate) body: Arc<Body>,
+    pub(crate) limit: Option<Box<RuleLimit>>,
+    /// The most that one request spends on it, its test included, in units.
+    pub(crate) cost: u64,
+    /// The hash of the text that it was read from.
+    pub(crate) content: ContentHash,
+    pub(crate) goes_on: bool,
+}
+
+impl Rule {
+    /// Bytes on the heap, with its share of what it has in common with others. A limit's places count in full,
+    /// though they are allocated with its first request.
+    pub(crate) fn heap_bytes(&self) -> usize {
+        let own = ARC_HEADER + size_of::<Rule>() + self.name.len();
+        let expressions = self.when.heap_bytes() + key_bytes(&self.key) + TABLE_BYTES;
+        own + expressions + share(&self.body, self.body.heap_bytes()) + self.limit_bytes()
+    }
+
+    fn limit_bytes(&self) -> usize {
+        let bytes = |limit: &RuleLimit| {
+            size_of::<RuleLimit>()
+                + limit.spec.key.len()
+                + ARC_HEADER
+                + size_of::<Limit>()
+                + limit.limit.memory()
+        };
+        self.limit.as_deref().map_or(0, bytes)
+    }
+}
+
+/// Bytes of a key's list of texts; the texts are those of the test.
+fn key_bytes(key: &SelectKey) -> usize {
+    match key {
+        SelectKey::EqualsAny(_, texts) | SelectKey::BeginsWithAny(_, texts) => {
+            ARC_HEADER + size_of_val::<[Arc<str>]>(texts)
+        }
+        SelectKey::Always | SelectKey::Never | SelectKey::Equals(..) | SelectKey::BeginsWith(..) => 0,
+    }
+}
+
+/// What rules share, those in force and those of the next file alike.
+#[derive(Default)]
+pub(crate) struct Shared {
+    pub(crate) interner: Interner,
+    parts: HashSet<Arc<Part>>,
+    bodies: HashSet<Arc<Body>>,
+}
+
+impl Shared {
+    /// Compiles a rule; `limit` is its limit, if it has one.
+    pub(crate) fn rule(
+        &mut self,
+        checked: &CheckedRule,
+        content: ContentHash,
+        limit: Option<Box<RuleLimit>>,
+    ) -> Rule {
+        let when = checked.when.compile(&mut self.interner);
+        let key = checked.when.select_key(&mut self.interner);
+        let parts_cost: u64 = checked.parts.iter().map(|(_, part)| part.cost()).sum();
+        let cost = checked.when.cost() + parts_cost;
+        let body = self.body(checked);
+        let name = checked.name.as_str().into();
+        Rule { name, when, key, body, limit, cost, content, goes_on: checked.goes_on }
+    }
+
+    /// What a rule does; one that does the same is shared.
+    fn body(&mut self, checked: &CheckedRule) -> Arc<Body> {
+        let parts = checked.parts.iter().map(|(name, part)| self.part(name, part)).collect();
+        intern(&mut self.bodies, Body { parts })
+    }
+
+    fn part(&mut self, name: &PartName, checked: &Expression) -> Arc<Part> {
+        let name = match name {
+            PartName::Note(name) => PartName::Note(self.interner.text(name)),
+            PartName::Term(name) => PartName::Term(self.interner.text(name)),
+            name => name.clone(),
+        };
+        let expression = checked.compile(&mut self.interner);
+        intern(&mut self.parts, Part { name, expression })
+    }
+
+    /// Forgets what no rule needs any more.
+    pub(crate) fn sweep(&mut self) {
+        self.bodies.retain(|body| Arc::strong_count(body) > 1);
+        self.bodies.shrink_to_fit();
+        self.parts.retain(|part| Arc::strong_count(part) > 1);
+        self.parts.shrink_to_fit();
+        self.interner.sweep();
+    }
+}
+
+/// The member of a set that is equal to a value, which becomes one where there is none.
+fn intern<T: Eq + Hash>(set: &mut HashSet<Arc<T>>, value: T) -> Arc<T> {
+    if let Some(known) = set.get(&value) {
+        return known.clone();
+    }
+    let value = Arc::new(value);
+    set.insert(value.clone());
+    value
+}
--- /dev/null
+++ b/crates/routes/tests/memory.rs
@@ -0,0 +1,258 @@
+//! What rules take of memory, by an allocator that counts, and how long reading them takes. The tests run one
+//! behind the other.
+
+mod common;
+
+use common::{mapping, read_on, request, route, routes, POOLS};
+use driftgap_routes::{Router, Rules, Verdict, DEFAULT_MOST_BYTES};
+use oorandom::Rand32;
+use peak_alloc::PeakAlloc;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+#[global_allocator]
+static ALLOCATOR: PeakAlloc = PeakAlloc;
+
+/// Most heap that a route may take, in bytes.
+const MOST_BYTES_A_ROUTE: f64 = 400.0;
+/// Most heap that a rule may take that makes a command with an id of its own, in bytes.
+const MOST_BYTES_A_MAPPING: f64 = 800.0;
+/// Bytes that reading takes for a rule on its way.
+const WORKING_BYTES: usize = 100;
+/// Bytes that are planned for each byte of what is parsed in one piece.
+const PARSED_FACTOR: f64 = 128.0;
+/// Bytes that reading takes whatever there is to read.
+const SMALL: usize = 64 * 1024;
+/// Changes of one file.
+const CHANGES: usize = 10_000;
+
+/// Held by the test that counts.
+static COUNTING: Mutex<()> = Mutex::new(());
+
+fn alone() -> MutexGuard<'static, ()> {
+    COUNTING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What is held from a moment on.
+struct Region {
+    before: usize,
+}
+
+impl Region {
+    fn new() -> Region {
+        ALLOCATOR.reset_peak_usage();
+        Region { before: ALLOCATOR.current_usage() }
+    }
+
+    /// Bytes that are held now.
+    fn held(&self) -> isize {
+        ALLOCATOR.current_usage() as isize - self.before as isize
+    }
+
+    /// Bytes that were held at most.
+    fn peak(&self) -> usize {
+        ALLOCATOR.peak_usage().saturating_sub(self.before)
+    }
+}
+
+/// The numbers of routes that are counted: with optimisation as many as the system must bear.
+fn sizes() -> Vec<usize> {
+    if cfg!(debug_assertions) {
+        vec![100, 1_000, 10_000]
+    } else {
+        vec![100, 1_000, 10_000, 63_000]
+    }
+}
+
+fn read(text: &str, previous: Option<&Rules>) -> Rules {
+    read_on(text, previous).unwrap_or_else(|faults| panic!("{}", faults.join("\n")))
+}
+
+/// Reads a file and tells what each of its rules takes.
+fn bytes_a_rule(text: &str) -> f64 {
+    let region = Region::new();
+    let rules = read(text, None);
+    let each = region.held() as f64 / rules.len() as f64;
+    let estimated = rules.heap_bytes() as f64 / rules.len() as f64;
+    println!("{} rules: {each:.0} bytes each, {estimated:.0} by estimate", rules.len());
+    assert!((0.8..=1.25).contains(&(estimated / each)), "{estimated} for {each}");
+    each
+}
+
+#[test]
+fn a_route_takes_at_most_400_bytes() {
+    let _alone = alone();
+    // What is made once in a process.
+    drop(read(&routes(1), None));
+    for count in sizes() {
+        let each = bytes_a_rule(&routes(count));
+        assert!(each <= MOST_BYTES_A_ROUTE, "{count} routes: {each} bytes each");
+        let mappings: String = (0..count).map(mapping).collect();
+        let each = bytes_a_rule(&mappings);
+        assert!(each <= MOST_BYTES_A_MAPPING, "{count} mappings: {each} bytes each");
+    }
+}
+
+#[test]
+fn an_unchanged_rule_is_held_once_by_the_old_and_the_new_rules() {
+    let _alone = alone();
+    const RULES: usize = 5_000;
+    let text = routes(RULES);
+    let changed = text.replace("/programmes/7/", "/programmes/seven/");
+    let other: String = [POOLS.to_string()].into_iter().chain((RULES..2 * RULES).map(route)).collect();
+    let region = Region::new();
+    let old = read(&text, None);
+    let one_set = region.held();
+    let new = read(&changed, Some(&old));
+    let both = region.held();
+    println!("{one_set} bytes for one set, {both} for two that differ in one rule");
+    assert!(both < one_set * 3 / 2, "{both} {one_set}");
+    // Another file throughout is held beside the old one until that is dropped.
+    let mut router = Router::new(new);
+    drop(old);
+    let replaced = router.replace(read(&other, Some(router.rules())), 0.0, 0.0);
+    assert!(region.held() < one_set * 5 / 2);
+    drop(replaced);
+    let after = region.held();
+    assert!((after - one_set).abs() < one_set / 10, "{after} {one_set}");
+}
+
+#[test]
+fn reading_takes_no_more_than_it_is_given() {
+    let _alone = alone();
+    for count in sizes() {
+        let text = routes(count);
+        let region = Region::new();
+        let old = read(&text, None);
+        let first = region.peak();
+        let one = text.replace("/programmes/7/", "/programmes/seven/");
+        let region = Region::new();
+        let new = read(&one, Some(&old));
+        let one_change = region.peak();
+        let other: String = [POOLS.to_string()].into_iter().chain((count..2 * count).map(route)).collect();
+        let region = Region::new();
+        let changed = read(&other, Some(&new));
+        let all_changed = region.peak();
+        let (file, set) = (text.len(), new.heap_bytes());
+        println!("{count} routes, {file} bytes, {set} by estimate: at most {first} to read, {one_change} beside the old ones with one change, {all_changed} with another file");
+        let whole = file + set + changed.heap_bytes() + WORKING_BYTES * count;
+        assert!(file + set + all_changed <= whole + SMALL, "{all_changed}");
+        assert!(one_change <= WORKING_BYTES * count + changed.heap_bytes() / 8 + SMALL, "{one_change}");
+        assert!(whole < DEFAULT_MOST_BYTES);
+    }
+}
+
+#[test]
+fn what_is_parsed_in_one_piece_takes_less_than_is_planned_for() {
+    let _alone = alone();
+    let list = |item: &str| format!("rule = [{}", item.repeat(10_000));
+    let tables =
+        |table: &str| -> String { (0..20_000).map(|i| table.replace('a', &format!("a{i}"))).collect() };
+    let ordinary = [
+        list("{ name = 'r', limit = { key = '\"a\"', rate = 1 } },\n"),
+        list("1,"),
+        list("[],"),
+        list("{},"),
+        list("'',"),
+        tables("[a]\n"),
+        tables("[[a]]\n"),
+        tables("a = 1\n"),
+    ];
+    for text in ordinary {
+        let each = parsed_bytes_a_byte(&text);
+        assert!(each <= PARSED_FACTOR, "{each}");
+    }
+    // Each dot of a key makes a table of its own, which is not planned for.
+    for text in [list("{a.a=1},"), tables("[a.b.c.d]\n"), tables("a.b.c = 1\n")] {
+        parsed_bytes_a_byte(&text);
+    }
+}
+
+/// What the parser takes for a byte of a text of which nothing else is made, since it is wrong.
+fn parsed_bytes_a_byte(text: &str) -> f64 {
+    let region = Region::new();
+    assert!(read_on(text, None).is_err());
+    let each = region.peak() as f64 / text.len() as f64;
+    println!("{:?}: {each:.0} bytes a byte", text.get(..24).unwrap_or(text));
+    each
+}
+
+#[test]
+fn a_limit_takes_its_places_with_its_first_request() {
+    let _alone = alone();
+    let text = "[[rule]]\nname = 'l'\nlimit = { key = '\"all\"', rate = 1 }\n";
+    drop(read(text, None));
+    let region = Region::new();
+    let mut router = Router::new(read(text, None));
+    let before = region.held();
+    assert!(matches!(router.route(&request("/"), 0.0), Verdict::Go(_)));
+    let after = region.held();
+    println!("{before} bytes before the first request, {after} after it");
+    assert!(before < 4_000, "{before}");
+    assert!(after - before >= 16_384 * 16, "{after}");
+    // What there is once, whatever the number of rules, is not estimated.
+    assert!(router.rules().heap_bytes() as isize > after - 4_000);
+}
+
+#[test]
+fn memory_is_as_at_first_after_ten_thousand_changes() {
+    let _alone = alone();
+    const RULES: usize = 40;
+    let seed = 7;
+    println!("seed {seed}");
+    let mut random = Rand32::new(seed);
+    let first: Vec<usize> = (0..RULES).collect();
+    let text = |rules: &[usize]| -> String {
+        let rules =
+            rules.iter().map(|number| if number % 3 == 0 { mapping(*number) } else { route(*number) });
+        [POOLS.to_string()].into_iter().chain(rules).collect()
+    };
+    let mut router = Router::new(read(&text(&first), None));
+    let mut now = 0.0;
+    let mut replace = |router: &mut Router, rules: &[usize]| {
+        now += 1.0;
+        let next = read(&text(rules), Some(router.rules()));
+        drop(router.replace(next, now, 0.0).expect("bits for the pools"));
+    };
+    replace(&mut router, &first);
+    let region = Region::new();
+    let (mut rules, mut most) = (first.clone(), 0);
+    for _ in 0..CHANGES {
+        let at = random.rand_range(0..RULES as u32) as usize;
+        // Numbers that were never there before, and some that were.
+        rules[at] = random.rand_range(0..1 << 20) as usize;
+        rules.sort_unstable();
+        rules.dedup();
+        rules.resize_with(RULES, || random.rand_range(1 << 20..1 << 21) as usize);
+        replace(&mut router, &rules);
+        most = most.max(region.held());
+    }
+    replace(&mut router, &first);
+    let (left, whole) = (region.held(), router.rules().heap_bytes() as isize);
+    println!("{left} bytes more after {CHANGES} changes, {most} at most, of {whole}");
+    assert!(left.abs() < 2_000, "{left}");
+    assert!(most < whole / 2, "{most} of {whole}");
+    assert!(matches!(router.route(&request("/"), now), Verdict::Go(_)));
+}
+
+#[test]
+fn reading_one_change_takes_a_small_part_of_reading_all() {
+    let _alone = alone();
+    for count in sizes() {
+        let text = routes(count);
+        let (begun, old) = (Instant::now(), read(&text, None));
+        let all = begun.elapsed();
+        let changed = text.replace("/programmes/7/", "/programmes/seven/");
+        let (begun, new) = (Instant::now(), read(&changed, Some(&old)));
+        let one = begun.elapsed();
+        let mut router = Router::new(old);
+        let begun = Instant::now();
+        let replaced = router.replace(new, 0.0, 0.0);
+        let replacing = begun.elapsed();
+        println!("{count} routes: {all:?} to read, {one:?} with one change, {replacing:?} to replace");
+        if count >= 1_000 {
+            assert!(one < all / 2, "{one:?} of {all:?}");
+        }
+        drop(replaced);
+    }
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -15,7 +15,8 @@
 use crate::inventory::{Inventory, InventoryError};
 use crate::operator::Operator;
 use crate::plugin::{Plugin, PluginError};
-use crate::routing::Source;
+use crate::routing::{catalog, Source, MEMORY_SHARE};
+use crate::rule_reload::{Reading, ReloadError, RuleReload};
 use crate::settings::Config;
 use crate::upstream::Upstream;
 use driftgap_group::Kind;
@@ -147,28 +148,39 @@
         Ok(())
     }
 
-    /// Reads the rules again. A file that is wrong anywhere keeps the old ones. The text that is in force now.
-    fn read_rules(&self, source: &Source) -> Option<String> {
-        let text = source.text();
-        match text.clone().and_then(|text| source.judge(&text, self.hub.platform())) {
-            Ok(rules) => {
-                let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
-                match self.hub.put_rules(rules) {
-                    Ok(()) => {
-                        tracing::info!(rules = count, cost, unindexed, "rules replaced");
-                        return text.ok();
-                    }
-                    Err(e) => tracing::error!(error = %e, "the old rules stay"),
-                }
+    /// Puts rules in force that were read again; without any, the old ones stay. The text that is in force now, where
+    /// there is a group to keep it.
+    fn put_rules(&self, read: Result<Reading, ReloadError>, in_group: bool) -> Option<String> {
+        let Reading { rules, text, retired } = match read {
+            Ok(reading) => reading,
+            Err(ReloadError::Faults(faults)) => {
+                tracing::error!(faults, "the old rules stay");
+                return None;
+            }
+            Err(e) => {
+                tracing::error!(error = %e, "the old rules stay");
+                return None;
             }
-            Err(faults) => {
-                for fault in &faults {
-                    tracing::error!(fault = fault.line, "rules");
+        };
+        let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
+        let (taken_over, bytes) = (rules.report().taken_over, rules.heap_bytes());
+        let begun = self.hub.now();
+        match self.hub.put_rules(rules) {
+            Ok(replaced) => {
+                let held_ms = self.hub.now() - begun;
+                retired.leave(replaced);
+                tracing::info!(rules = count, taken_over, cost, unindexed, bytes, held_ms, "rules replaced");
+                if in_group {
+                    return Some(text);
                 }
-                tracing::error!(faults = faults.len(), "the old rules stay");
+                retired.leave(text);
+                None
+            }
+            Err(e) => {
+                tracing::error!(error = %e, "the old rules stay");
+                None
             }
         }
-        None
     }
 
     /// Follows the name table at this agent from now on; the list held stays until the agent tells another.
@@ -294,17 +306,27 @@
     if let Some(inventory) = &inventory {
         hand_in(Kind::Inventory, inventory.accepted(), true);
     }
-    let rules = rules.map(|(source, text)| {
+    let mut rules = rules.map(|(source, text)| {
         hand_in(Kind::Rules, text.into_bytes(), true);
-        source
+        RuleReload::new(source, catalog(node.hub.platform()))
     });
-    while hang_up.recv().await.is_some() {
-        node.reload(&path, &mut held);
-        if let Some(rules) = &rules {
-            if let Some(text) = node.read_rules(rules) {
-                hand_in(Kind::Rules, text.into_bytes(), false);
+    loop {
+        tokio::select! {
+            heard = hang_up.recv() => if heard.is_none() { return },
+            read = finished(rules.as_mut()) => {
+                if let Some(text) = node.put_rules(read, group.is_some()) {
+                    hand_in(Kind::Rules, text.into_bytes(), false);
+                }
+                if let Some(rules) = &mut rules {
+                    rules.resume(node.hub.rules());
+                }
+                continue;
             }
         }
+        node.reload(&path, &mut held);
+        if let Some(rules) = &mut rules {
+            rules.request(node.hub.rules());
+        }
         if let Some(inventory) = &mut inventory {
             match node.load(inventory) {
                 Ok(()) => {
@@ -323,6 +345,14 @@
     }
 }
 
+/// Waits for the reading of rules that is under way; forever without one.
+async fn finished(rules: Option<&mut RuleReload>) -> Result<Reading, ReloadError> {
+    match rules {
+        Some(rules) => rules.finished().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Descriptors for instances.
 fn instances(config: &Config) -> usize {
     spare(config) * 2 / 5
@@ -384,8 +414,10 @@
     let memory_mb = config.memory_mb * if inherited { BESIDE } else { 1.0 };
     let Signals { mut term, mut int, hang_up } = signals;
     let plugin = operator.plugin.as_ref().map(|p| Plugin::load(p, &operator.folder)).transpose()?;
-    let node =
-        Node::new(&config, Hub::new(&config, memory_mb, plugin, Clock::system(), operator.group.is_some())?);
+    let source = Source::of(&operator, memory_mb);
+    let rules_mb = source.as_ref().map_or(0.0, |_| memory_mb * MEMORY_SHARE);
+    let (commands_mb, in_group) = (memory_mb - rules_mb, operator.group.is_some());
+    let node = Node::new(&config, Hub::new(&config, commands_mb, plugin, Clock::system(), in_group)?);
     let hub = node.hub.clone();
     let handover = beside(&config, inherited);
     if let Some(handover) = &handover {
@@ -403,9 +435,10 @@
         spawn_local(obey(hub.clone(), group.view()));
     }
     let mut rules = None;
-    if let Some(source) = Source::of(&operator) {
+    if let Some(source) = source {
         let text = source.text();
-        let mut read = text.clone().and_then(|text| source.judge(&text, hub.platform()));
+        let catalog = catalog(hub.platform());
+        let mut read = text.clone().and_then(|text| source.judge(&text, &catalog, None));
         let mut text = text.unwrap_or_default();
         if let (Err(faults), Some(group)) = (&read, &group) {
             let Some(held) = unless_stopped(&mut term, group.document(Kind::Rules)).await else {
@@ -413,7 +446,7 @@
             };
             if let Some(held) = held {
                 let good = String::from_utf8_lossy(&held.bytes).to_string();
-                if let Ok(rules) = source.judge(&good, hub.platform()) {
+                if let Ok(rules) = source.judge(&good, &catalog, None) {
                     let fault = faults.first().map(|f| &f.line);
                     tracing::error!(fault, number = held.number, "serves the group's last good rules");
                     (read, text) = (Ok(rules), good);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -2,9 +2,9 @@
 //! of what it prints and of the request's JSON. It must never judge anything itself: the ingress and this read
 //! the same rules by the same code.
 
-use crate::routing::Source;
-use crate::settings::Platform;
-use driftgap_routes::{Explained, Headers, Request, Router, Rules, Verdict};
+use crate::routing::{catalog, Source};
+use crate::settings::Config;
+use driftgap_routes::{Explained, Explainer, Fault, Headers, Request, Router, Rules, Verdict};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -101,32 +101,46 @@
     }
 }
 
-fn read(file: &Path, platform: &Platform) -> Result<Rules, Vec<String>> {
-    let rules = Source::file(file.to_path_buf()).read(platform);
-    rules.map_err(|faults| faults.into_iter().map(|fault| fault.shown).collect())
+fn read(file: &Path, config: &Config) -> Result<Rules, Vec<String>> {
+    Source::file(file.to_path_buf(), config.memory_mb).read(&config.platform).map_err(shown)
+}
+
+/// Reads a file with what an explanation needs.
+fn read_to_explain(file: &Path, config: &Config) -> Result<Explainer, Vec<String>> {
+    let text = Source::file(file.to_path_buf(), config.memory_mb).text().map_err(shown)?;
+    Explainer::read(&text, &file.display().to_string(), None, &catalog(&config.platform)).map_err(shown)
+}
+
+fn shown(faults: Vec<Fault>) -> Vec<String> {
+    faults.into_iter().map(|fault| fault.shown).collect()
 }
 
 /// What a file of rules is; or every fault, with the line it is in.
 ///
 /// # Errors
 /// The faults.
-pub fn check(file: &Path, platform: &Platform) -> Result<String, Vec<String>> {
-    let rules = read(file, platform)?;
+pub fn check(file: &Path, config: &Config) -> Result<String, Vec<String>> {
+    let rules = read(file, config)?;
     let (count, cost, unindexed) = (rules.len(), rules.cost(), rules.unindexed());
-    Ok(format!("ok: {count} rules, {unindexed} of them looked at for every request, {cost} units at most\n"))
+    let bytes = rules.heap_bytes();
+    Ok(format!(
+        "ok: {count} rules, {unindexed} of them looked at for every request, {cost} units at most, {bytes} bytes\n"
+    ))
 }
 
 /// A request's way through a file of rules, as if every pool had a ready instance.
 ///
 /// # Errors
 /// What is wrong with the file or the request.
-pub fn explain(file: &Path, platform: &Platform, sample: &Sample) -> Result<String, Vec<String>> {
-    let mut router = Router::new(read(file, platform)?);
+pub fn explain(file: &Path, config: &Config, sample: &Sample) -> Result<String, Vec<String>> {
+    let explainer = read_to_explain(file, config)?;
+    let platform = &config.platform;
+    let mut router = Router::new(explainer.rules().clone());
     router.ready([u64::MAX].into_iter());
     let request = sample.request();
     let mut text = String::new();
     // Writing to memory does not fail.
-    for rule in router.explain(&request) {
+    for rule in explainer.explain(&request) {
         let _ = tell(&mut text, &rule);
     }
     let _ = match router.route(&request, 0.0) {
@@ -167,12 +181,13 @@
 ///
 /// # Errors
 /// What is wrong with the file.
-pub fn bench(file: &Path, platform: &Platform, sample: &Sample) -> Result<String, Vec<String>> {
-    let whole = read(file, platform)?.len();
+pub fn bench(file: &Path, config: &Config, sample: &Sample) -> Result<String, Vec<String>> {
+    let rules = read(file, config)?;
+    let whole = rules.len();
     let sizes = std::iter::successors(Some(1), |size| Some(size * 10)).take_while(|size| *size < whole);
     let mut text = String::from("   rules   ns/request\n");
     for size in sizes.chain([whole]) {
-        let mut router = Router::new(read(file, platform)?.first(size));
+        let mut router = Router::new(rules.first(size));
         router.ready([u64::MAX].into_iter());
         let (begun, mut rounds) = (Instant::now(), 0u32);
         while begun.elapsed() < MEASURED {
--- /dev/null
+++ b/tests/pools.rs
@@ -0,0 +1,71 @@
+//! Pools of many instances: what it takes to put rules in force while they are listed.
+
+use driftgap::clock::Clock;
+use driftgap::hub::Hub;
+use driftgap::routing::catalog;
+use driftgap::settings::Config;
+use driftgap::ListKind;
+use driftgap_routes::Rules;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = include_str!("stage/settings.json");
+const INSTANCES: usize = 20_000;
+
+/// A hub to which discovery has told so many instances, each with one of eight labels.
+fn hub(config: &Config) -> Rc<Hub> {
+    let hub = Hub::new(config, config.memory_mb, None, Clock::system(), false).unwrap();
+    let server = |number: usize| {
+        let (high, low, label) = (number / 256, number % 256, number % 8);
+        format!(
+            r#"{{"id":"i{number}","addr":"10.0.{high}.{low}:80","zone":"building-1","kind":"small-2c","cell":0,
+                "state":"active","weight":1.0,"started_ms":0,"protocol":"resp","labels":{{"pool":"p{label}"}}}}"#
+        )
+    };
+    let servers: Vec<String> = (0..INSTANCES).map(server).collect();
+    let list = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, servers.join(","));
+    let news = hub.table().take(&serde_json::from_str(&list).unwrap()).unwrap();
+    hub.names(ListKind::Full, news.entries);
+    hub
+}
+
+/// Rules with so many pools by label.
+fn rules(config: &Config, pools: usize) -> Rules {
+    let pool = |number: usize| {
+        format!(
+            "[[pool]]\nname = 'p{number}'\nwhen = 'instance.labels[\"pool\"].orValue(\"\") == \"p{number}\"'\n"
+        )
+    };
+    let text: String = (0..pools).map(pool).collect();
+    Rules::read(&text, "rules.toml", &catalog(&config.platform)).unwrap()
+}
+
+#[test]
+fn rules_without_a_new_pool_cost_the_same_however_many_instances_there_are() {
+    const PUTS: usize = 21;
+    const MOST: Duration = Duration::from_millis(1);
+    let config = format!(r#"{{"listen":"127.0.0.1:1","settings":{SETTINGS}}}"#);
+    let config = Config::parse(&config).unwrap();
+    let hub = hub(&config);
+    hub.put_rules(rules(&config, 8)).unwrap();
+    let all = hub.pools().unwrap().0;
+    assert_eq!(all, (0..8).map(|pool| format!("p{pool}={}", INSTANCES / 8)).collect::<Vec<_>>().join(" "));
+    let mut took: Vec<Duration> = (0..PUTS)
+        .map(|_| {
+            let rules = rules(&config, 8);
+            let begun = Instant::now();
+            let replaced = hub.put_rules(rules).unwrap().unwrap();
+            let took = begun.elapsed();
+            assert!(!replaced.has_new_pools());
+            took
+        })
+        .collect();
+    took.sort();
+    assert_eq!(hub.pools().unwrap().0, all);
+    let more = rules(&config, 9);
+    let begun = Instant::now();
+    assert!(hub.put_rules(more).unwrap().unwrap().has_new_pools());
+    println!("{INSTANCES} instances: median {:?}, with a new pool {:?}", took[PUTS / 2], begun.elapsed());
+    // Not the longest: the machine may run others meanwhile. Half of the puts had no more than this.
+    assert!(took[PUTS / 2] < MOST, "{took:?}");
+}
