--- a/crates/scale/src/experiments/routes.rs
+++ b/crates/scale/src/experiments/routes.rs
@@ -1,14 +1,14 @@
 //! What routes cost an ingress: reading them at the start, a look-up, one route changed, the file replaced.
 
 use crate::experiment::{Experiment, ExperimentError, Measurement, Unit};
-use crate::probe::{measure, resident};
-use driftgap_routes::{Catalog, Effect, NoHeaders, Request, Router, Rules};
+use crate::probe::{measure, resident, Cost};
+use driftgap_routes::{Catalog, Effect, NoHeaders, ReadOptions, Replaced, Request, Router, Rules};
 use oorandom::Rand32;
 use std::fmt::Write;
 use std::hint::black_box;
 use std::net::IpAddr;
 
-const SIZES: [u64; 5] = [100, 300, 1_000, 3_000, 10_000];
+const SIZES: [u64; 7] = [100, 300, 1_000, 3_000, 10_000, 30_000, 63_000];
 const QUICK_SIZES: [u64; 4] = [30, 100, 300, 1_000];
 /// Look-ups over which the cost of one is averaged.
 const LOOK_UPS: u64 = 10_000;
@@ -19,6 +19,8 @@
 const HOSTS: u64 = 50;
 const EVERY_LIMIT: u64 = 50;
 const EVERY_NOTE: u64 = 10;
+/// Bytes that reading may take: more than an ingress has for it, so that the bound is never what is measured.
+const MOST_BYTES: usize = 1 << 30;
 /// Virtual time of a replacement, ms.
 const REPLACED_AT_MS: f64 = 60_000.0;
 /// Longest deadline of a request, ms.
@@ -44,21 +46,30 @@
     /// # Errors
     /// The text holds faults; the first of them.
     pub fn start(text: &str) -> Result<RouteTable, ExperimentError> {
-        let mut table = RouteTable { router: Router::new(read(text)?) };
+        let mut table = RouteTable { router: Router::new(read(text, None)?) };
         table.pools_are_ready();
         Ok(table)
     }
 
-    /// Reads another text and puts its routes in force in place of those that are.
+    /// Reads another text, which takes over what the routes in force have of it already: the work of the thread that
+    /// reads.
     ///
     /// # Errors
     /// The text holds faults; the first of them.
-    pub fn replace(&mut self, text: &str) -> Result<(), ExperimentError> {
-        let rules = read(text)?;
+    pub fn read(&self, text: &str) -> Result<Rules, ExperimentError> {
+        read(text, Some(self.router.rules()))
+    }
+
+    /// Puts routes in force in place of those that are: the work of the thread that serves. What it returns is dropped
+    /// by the thread that reads.
+    ///
+    /// # Errors
+    /// Earlier pools are still needed.
+    pub fn exchange(&mut self, rules: Rules) -> Result<Replaced, ExperimentError> {
         let replaced = self.router.replace(rules, REPLACED_AT_MS, LONGEST_MS);
-        replaced.map_err(|e| ExperimentError::Refused(e.to_string()))?;
+        let replaced = replaced.map_err(|e| ExperimentError::Refused(e.to_string()))?;
         self.pools_are_ready();
-        Ok(())
+        Ok(replaced)
     }
 
     /// Looks a request up.
@@ -88,13 +99,14 @@
     }
 }
 
-fn read(text: &str) -> Result<Rules, ExperimentError> {
+fn read(text: &str, previous: Option<&Rules>) -> Result<Rules, ExperimentError> {
     let catalog = Catalog {
         classes: vec![("fetch-episode".into(), Effect::Pure)],
         plans: vec!["city".into()],
         most_units: 4.0,
     };
-    Rules::read(text, "routes.toml", &catalog).map_err(|faults| {
+    let options = ReadOptions { previous, most_bytes: MOST_BYTES };
+    Rules::read_part(text, "routes.toml", None, &catalog, &options).map_err(|faults| {
         let first = faults.first().map_or(String::new(), |fault| fault.line.clone());
         ExperimentError::Refused(first)
     })
@@ -216,6 +228,24 @@
     }
 }
 
+/// What it costs to replace the routes in force by those of a text: all of it, and what the thread that serves does.
+fn replacement(table: &mut RouteTable, text: &str, step: &str) -> Result<Vec<Measurement>, ExperimentError> {
+    let (rules, reading) = measure(|| table.read(text));
+    let rules = rules?;
+    let (replaced, exchange) = measure(|| table.exchange(rules));
+    let replaced = replaced?;
+    let ((), dropping) = measure(|| drop(replaced));
+    let all = Cost {
+        heap: reading.heap + exchange.heap + dropping.heap,
+        peak: reading.peak.max(reading.heap.max(0) as u64 + exchange.peak),
+        allocations: reading.allocations + exchange.allocations,
+        cpu: reading.cpu + exchange.cpu + dropping.cpu,
+    };
+    let mut results = all.measurements(step).to_vec();
+    results.extend(exchange.effort(&format!("{step}_exchange")));
+    Ok(results)
+}
+
 impl Experiment for ByRoutes {
     fn name(&self) -> &'static str {
         match self.form {
@@ -264,15 +294,11 @@
         let middle = current.len() / 2;
         current[middle].token = random.rand_u32();
         let text = self.form.text(&current);
-        let (replaced, cost) = measure(|| table.replace(&text));
-        replaced?;
-        results.extend(cost.measurements("one_changed"));
+        results.extend(replacement(&mut table, &text, "one_changed")?);
 
         let others = routes(size, &mut random);
         let text = self.form.text(&others);
-        let (replaced, cost) = measure(|| table.replace(&text));
-        replaced?;
-        results.extend(cost.measurements("all_changed"));
+        results.extend(replacement(&mut table, &text, "all_changed")?);
         Ok(results)
     }
 }
--- a/crates/scale/src/ingress.rs
+++ b/crates/scale/src/ingress.rs
@@ -9,7 +9,7 @@
 use driftgap::facade::Add;
 use driftgap::hub::{Hub, Network, ServiceClient};
 use driftgap::inventory::Inventory;
-use driftgap::routing::Source;
+use driftgap::routing::{catalog, Source};
 use driftgap::settings::Config;
 use driftgap::wire::HttpAnswer;
 use driftgap::{ListKind, Outcome};
@@ -236,12 +236,15 @@
     /// # Errors
     /// The text holds faults; the first of them.
     pub fn put_rules(&self, text: &str) -> Result<(), ExperimentError> {
-        let source = Source::file(RULES_FILE.into());
-        let rules = source.judge(text, self.hub.platform()).map_err(|faults| {
-            let first = faults.first().map_or(String::new(), |fault| fault.line.clone());
-            ExperimentError::Refused(first)
-        })?;
-        self.hub.put_rules(rules).map_err(|e| ExperimentError::Refused(e.to_string()))
+        let source = Source::file(RULES_FILE.into(), MEMORY_MB);
+        let in_force = self.hub.rules();
+        let rules =
+            source.judge(text, &catalog(self.hub.platform()), in_force.as_ref()).map_err(|faults| {
+                let first = faults.first().map_or(String::new(), |fault| fault.line.clone());
+                ExperimentError::Refused(first)
+            })?;
+        self.hub.put_rules(rules).map_err(|e| ExperimentError::Refused(e.to_string()))?;
+        Ok(())
     }
 
     /// Takes a command; its answer comes with time.
