--- a/crates/scale/src/ingress.rs
+++ b/crates/scale/src/ingress.rs
@@ -237,13 +237,13 @@
     /// The text holds faults; the first of them.
     pub fn put_rules(&self, text: &str) -> Result<(), ExperimentError> {
         let source = Source::file(RULES_FILE.into(), MEMORY_MB);
-        let previous = self.hub.rules();
+        let in_force = self.hub.rules();
         let rules =
-            source.judge(text, &catalog(self.hub.platform()), previous.as_ref()).map_err(|faults| {
+            source.judge(text, &catalog(self.hub.platform()), in_force.as_ref()).map_err(|faults| {
                 let first = faults.first().map_or(String::new(), |fault| fault.line.clone());
                 ExperimentError::Refused(first)
             })?;
-        drop(self.hub.put_rules(rules).map_err(|e| ExperimentError::Refused(e.to_string()))?);
+        self.hub.put_rules(rules).map_err(|e| ExperimentError::Refused(e.to_string()))?;
         Ok(())
     }
 
