Tests: commands of a burst wait for a silent counter, so that none is refused

Lines of the module in a scratch build: where it passes, all 128 commands are judged with no attempt out (10 ms, level 0), since all wait for the counter. The front yields between batches; where the counter's first answers come in between, attempts begin, the threshold of one instance (3) is passed, and the ladder refuses the rest, c60 among them.

The counter says nothing during the burst, so that all 128 wait until its calls are given up, and begin then. What is asked is unchanged. The second test of the same form is changed alike.

With both guards of clients that have gone taken out, the first test fails (c128 is begun); the second one passes then, in its old form as well as in this one.

--- a/tests/gone.rs
+++ b/tests/gone.rs
@@ -6,10 +6,12 @@
 
 #[test]
 fn behind_the_most_pipelined_commands_nothing_more_is_begun() {
-    // 128 are taken; the others are in the ring, and nothing is read meanwhile.
+    // 128 are taken; the others are in the ring, and nothing is read meanwhile. All wait for the counter until its calls
+    // are given up: with its answers, attempts would begin between them, and the ladder would refuse the rest.
     play_resp(
         "state b left
          wait 100
+         counter silent
          burst c 200
          expect a c60
          runs c128 0
@@ -27,6 +29,7 @@
     play_resp(
         "state b left
          wait 100
+         counter silent
          burst c 1500
          expect a c60
          close c
