A stopping ingress rejects late requests and stops reading before its final answers

Cause: a draining connection read again whenever a byte was there, without an end, and the final answers were given once. The record of the case shows bookings written 3511 to 3631 ms after SIGTERM, run at 3634 ms, and the exit at 3655 ms; the final answers came at 3500 ms.

Change: the drain state of a shutdown gets the stage of PAUSE in which requests are rejected before any attempt, from half of the longest deadline after the listeners closed (1 s at most). The RESP frontend reads nothing more from the moment of the final answers on.

The test stop_never_rejects_and_cannot_be_undone stated the design that caused the fault; stop_drains_by_stages_and_cannot_be_undone replaces it, with each bound of the stages and the end of a pause during a shutdown.

--- a/crates/admin/src/drain.rs
+++ b/crates/admin/src/drain.rs
@@ -28,20 +28,32 @@
     Drained,
 }
 
-/// A shutdown: when it began, and for how long new clients may still connect, ms.
+/// When the stages of a shutdown begin, ms after its start.
+#[derive(Clone, Copy, Debug)]
+pub struct StopStages {
+    /// Start of [`DrainState::Draining`]: until then new clients may still connect.
+    pub draining_ms: f64,
+    /// Start of [`DrainState::Drained`]: requests that arrive later could not be finished before the
+    /// process exits.
+    pub drained_ms: f64,
+}
+
+/// A shutdown: when it began, and its stages.
 #[derive(Clone, Copy, Debug)]
 struct Stop {
     since_ms: f64,
-    notice_ms: f64,
+    stages: StopStages,
 }
 
 impl Stop {
-    /// A stopping process never rejects: it serves the requests that it has received.
     fn state(self, now: f64) -> DrainState {
-        if now - self.since_ms < self.notice_ms {
+        let elapsed_ms = now - self.since_ms;
+        if elapsed_ms < self.stages.draining_ms {
             DrainState::Notice
-        } else {
+        } else if elapsed_ms < self.stages.drained_ms {
             DrainState::Draining
+        } else {
+            DrainState::Drained
         }
     }
 }
@@ -68,12 +80,11 @@
         self.paused_since.take().is_some()
     }
 
-    /// Begins the shutdown, which cannot be undone. New clients may connect for another
-    /// `notice_ms`. Only the first call has an effect.
-    pub fn stop(&mut self, now: f64, notice_ms: f64) {
+    /// Begins the shutdown, which cannot be undone. Only the first call has an effect.
+    pub fn stop(&mut self, now: f64, stages: StopStages) {
         self.stop.get_or_insert(Stop {
             since_ms: now,
-            notice_ms,
+            stages,
         });
     }
 
--- a/crates/admin/src/drain/tests.rs
+++ b/crates/admin/src/drain/tests.rs
@@ -25,16 +25,23 @@
 }
 
 #[test]
-fn stop_never_rejects_and_cannot_be_undone() {
+fn stop_drains_by_stages_and_cannot_be_undone() {
     let mut drain = DrainControl::default();
-    drain.stop(1000.0, 500.0);
-    drain.stop(9000.0, 0.0);
+    let stages = |draining_ms, drained_ms| StopStages {
+        draining_ms,
+        drained_ms,
+    };
+    drain.stop(1000.0, stages(500.0, 2500.0));
+    drain.stop(9000.0, stages(0.0, 0.0));
     assert_eq!(
-        [1499.0, 1500.0, 1e9].map(|ms| drain.state(ms)),
+        [1000.0, 1499.0, 1500.0, 3499.0, 3500.0, 1e9].map(|ms| drain.state(ms)),
         [
             DrainState::Notice,
+            DrainState::Notice,
+            DrainState::Draining,
             DrainState::Draining,
-            DrainState::Draining
+            DrainState::Drained,
+            DrainState::Drained
         ]
     );
     assert!(!drain.resume() && drain.stopped() && !drain.paused());
@@ -44,4 +51,10 @@
         [DrainState::Draining, DrainState::Drained],
         "the later stage applies"
     );
+    assert!(drain.resume());
+    assert_eq!(
+        [3000.0, 3500.0].map(|ms| drain.state(ms)),
+        [DrainState::Draining, DrainState::Drained],
+        "the end of a pause does not undo the shutdown"
+    );
 }
--- a/crates/admin/src/lib.rs
+++ b/crates/admin/src/lib.rs
@@ -12,5 +12,5 @@
 mod exclusions;
 
 pub use call::{Answer, BadCall, Call, GroupCall, MAX_ID, MAX_LINE};
-pub use drain::{DrainControl, DrainState, DRAINED_MS, NOTICE_MS};
+pub use drain::{DrainControl, DrainState, StopStages, DRAINED_MS, NOTICE_MS};
 pub use exclusions::{ExcludedEndpoints, ExclusionOutcome, MAX_EXCLUDED};
--- a/src/frontend/resp.rs
+++ b/src/frontend/resp.rs
@@ -161,6 +161,14 @@
         }
     }
 
+    /// Reads no more requests, at the end of a shutdown. Requests that have been read are answered
+    /// before their connection closes; clients send those that were not read elsewhere.
+    pub fn stop_reading(&self) {
+        for connection in self.open_connections() {
+            connection.stop_reading();
+        }
+    }
+
     fn open_connections(&self) -> Vec<Rc<Connection>> {
         let connections = self.connections.borrow();
         connections.values().filter_map(Weak::upgrade).collect()
--- a/src/frontend/resp/connection.rs
+++ b/src/frontend/resp/connection.rs
@@ -39,6 +39,8 @@
     pub(super) failed: Cell<bool>,
     /// Whether to close the connection as soon as no answer is pending on it.
     pub(super) draining: Cell<bool>,
+    /// Whether nothing more is read from the client, because the process is about to exit.
+    pub(super) reading_stopped: Cell<bool>,
     /// Start of the wait for a first request or for the rest of an incomplete one, ms; `None`
     /// between complete requests.
     pub(super) incomplete_since_ms: Cell<Option<f64>>,
@@ -75,6 +77,7 @@
             unsent: dispatcher.unsent_budget(),
             failed: Cell::new(false),
             draining: Cell::new(false),
+            reading_stopped: Cell::new(false),
             incomplete_since_ms: Cell::new(Some(now)),
             has_sent_request: Cell::new(false),
             has_unparsed_input: Cell::new(false),
@@ -106,6 +109,12 @@
         self.wake.notify_one();
     }
 
+    /// Reads nothing more, and closes the connection once all requests that were read are answered.
+    pub(super) fn stop_reading(&self) {
+        self.reading_stopped.set(true);
+        self.wake.notify_one();
+    }
+
     /// Commits `count` bytes that were read to the end of the input, and starts the request's
     /// timeout.
     pub(super) fn commit_input(&self, input: &mut RingBuffer, count: usize) {
--- a/src/frontend/resp/session.rs
+++ b/src/frontend/resp/session.rs
@@ -97,9 +97,13 @@
                 return;
             }
             let unsent = connection.has_unsent();
-            if pending_answers == 0 && !unsent && !self.accepts_requests {
+            let all_sent = pending_answers == 0 && !unsent;
+            if all_sent && !self.accepts_requests {
                 return linger(connection, &mut self.read).await;
             }
+            if all_sent && connection.reading_stopped.get() {
+                return close_unread(connection, &mut self.read).await;
+            }
             if self.wait(pending_answers, unsent).await.is_break() {
                 return;
             }
@@ -211,8 +215,8 @@
         let connection = self.connection;
         let closing = connection.draining.get() && !connection.has_unparsed_input.get();
         let paused = self.update_input_budget();
-        let reads_requests =
-            self.accepts_requests && pending_answers < MAX_PIPELINED && !closing && !paused;
+        let may_read = !closing && !paused && !connection.reading_stopped.get();
+        let reads_requests = self.accepts_requests && pending_answers < MAX_PIPELINED && may_read;
         let streaming = connection.streaming.borrow().clone();
         let Session { read, input, .. } = self;
         let Ok(spare) = input.free_slice() else {
@@ -271,6 +275,22 @@
     }
 }
 
+/// Closes the connection without reading what the client still sends. If there are unread bytes, the
+/// write side is shut down and the client is given until the exit of the process to close its side:
+/// a close would reset the connection, and answers that the client has not read would be lost.
+async fn close_unread(connection: &Connection, read: &mut OwnedReadHalf) {
+    let mut first_byte = [0];
+    let has_unread = tokio::select! {
+        biased;
+        peeked = read.peek(&mut first_byte) => peeked.is_ok_and(|count| count > 0),
+        () = std::future::ready(()) => false,
+    };
+    if has_unread {
+        let _ = socket2::SockRef::from(connection.stream.as_ref()).shutdown(Shutdown::Write);
+        let _ = peer_closed(read).await;
+    }
+}
+
 /// Waits until the client has closed its connection, even if input is unread. The close is noticed
 /// this way while nothing is read, so no work starts for a disconnected client. Returns the result
 /// of a read at the end of the stream.
--- a/src/runtime/server/shutdown.rs
+++ b/src/runtime/server/shutdown.rs
@@ -3,14 +3,17 @@
 //!
 //! The process accepts connections for [`ACCEPT_AFTER_STOP_MS`] more. An inherited RESP listener is
 //! released at once, since another process accepts from its queue; HTTP/2 continues for that time
-//! in any case. Then the process waits for at most the longest deadline of a class, answers the
-//! remaining requests as rejected or failed, and exits.
+//! in any case. Clients may keep sending on connections that stay open, so requests that arrive too
+//! late to be finished are rejected before any attempt. The process waits for at most the longest
+//! deadline of a class, stops reading, answers the remaining requests as rejected or failed, and
+//! exits.
 
 use super::ingress::Ingress;
 use super::timers::log_statistics;
 use crate::frontend::http2::Http2Frontend;
 use crate::frontend::resp::RespFrontend;
 use crate::runtime::dispatcher::Dispatcher;
+use driftgap_admin::StopStages;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -19,6 +22,9 @@
 /// Time after SIGTERM during which new connections are accepted, ms: clients that do not know of
 /// the stop yet still connect.
 const ACCEPT_AFTER_STOP_MS: f64 = 500.0;
+/// Longest time after the listeners close during which requests are forwarded, ms. They arrive on
+/// new connections and behind requests that were in flight.
+const MAX_FORWARDING_MS: f64 = 1000.0;
 /// Upper bound of the longest deadline in the shutdown's time limit, ms. The platform's limit for a
 /// stop assumes it.
 const MAX_COUNTED_DEADLINE_MS: f64 = 3000.0;
@@ -96,6 +102,11 @@
         }
     }
 
+    /// Reads no more requests. Those that have been read are answered.
+    fn stop_reading(&self) {
+        self.resp.stop_reading();
+    }
+
     /// Waits until every connection has closed, at most until `end_ms`. Returns whether all have.
     async fn all_closed_by(&self, dispatcher: &Dispatcher, end_ms: f64) -> bool {
         while self.connections() > 0 && dispatcher.now() < end_ms {
@@ -110,6 +121,17 @@
     let _ = accept.await;
 }
 
+/// Returns when the stages of the shutdown begin. A request that is forwarded at the last moment has
+/// at least half of the longest deadline left until the final answers.
+fn stop_stages(inherited: bool, counted_deadline_ms: f64) -> StopStages {
+    let draining_ms = if inherited { 0.0 } else { ACCEPT_AFTER_STOP_MS };
+    let forwarding_ms = (counted_deadline_ms / 2.0).min(MAX_FORWARDING_MS);
+    StopStages {
+        draining_ms,
+        drained_ms: ACCEPT_AFTER_STOP_MS + forwarding_ms,
+    }
+}
+
 /// Drains the ingress: finishes the requests that were received, closes idle connections, and
 /// returns in time for the process to exit.
 pub(super) async fn drain(ingress: &Ingress, mut frontends: Frontends) {
@@ -120,18 +142,13 @@
         clients = frontends.connections(),
         "stopping: finishing the requests that were received"
     );
-    let notice_ms = if frontends.inherited {
-        0.0
-    } else {
-        ACCEPT_AFTER_STOP_MS
-    };
-    dispatcher.drain().stop(begun_ms, notice_ms);
+    let counted_deadline_ms = dispatcher
+        .longest_deadline_ms()
+        .min(MAX_COUNTED_DEADLINE_MS);
+    let stages = stop_stages(frontends.inherited, counted_deadline_ms);
+    dispatcher.drain().stop(begun_ms, stages);
     frontends.stop_accepting(dispatcher, begun_ms).await;
-    let end_ms = begun_ms
-        + dispatcher
-            .longest_deadline_ms()
-            .min(MAX_COUNTED_DEADLINE_MS)
-        + ACCEPT_AND_WRITE_MARGIN_MS;
+    let end_ms = begun_ms + counted_deadline_ms + ACCEPT_AND_WRITE_MARGIN_MS;
     let last_answers_at_ms = end_ms - FINAL_ANSWERS_MARGIN_MS;
     if !frontends
         .all_closed_by(dispatcher, last_answers_at_ms)
@@ -141,6 +158,8 @@
             unanswered = dispatcher.unanswered(),
             "drain time limit reached: answering the remaining requests as rejected or failed"
         );
+        // A request that was read after these answers could run and get none.
+        frontends.stop_reading();
         dispatcher.answer_all_now();
         frontends.all_closed_by(dispatcher, end_ms).await;
     }
--- a/tests/stage/clients.rs
+++ b/tests/stage/clients.rs
@@ -144,7 +144,9 @@
                     .unwrap();
                 let mut ready = send.clone().ready().await.unwrap();
                 let (response, mut body) = ready.send_request(request, false).unwrap();
-                body.send_data(content.into(), true).unwrap();
+                if !rest.contains(&"unfinished") {
+                    body.send_data(content.into(), true).unwrap();
+                }
                 streams.insert(id.to_string(), (response, body));
             }
         }
--- a/tests/stage/endpoints.rs
+++ b/tests/stage/endpoints.rs
@@ -64,6 +64,18 @@
     (format!("used=37,cost={cost}"), v)
 }
 
+/// Waits for the delay of `after MS REPLY`, and returns the reply. Returns any other reply at once.
+async fn after_delay(behavior: String) -> String {
+    let Some((delay_ms, reply)) = behavior
+        .strip_prefix("after ")
+        .and_then(|rest| rest.split_once(' '))
+    else {
+        return behavior;
+    };
+    tokio::time::sleep(Duration::from_millis(delay_ms.parse().unwrap())).await;
+    reply.to_string()
+}
+
 /// Returns the bytes of a reply, or those that a fault sends in its place.
 fn resp_reply(behavior: &str) -> String {
     match behavior.split_once(' ').unwrap_or((behavior, "")) {
@@ -119,6 +131,7 @@
         let Ok(behavior) = shared.attempt_arrived(&name, &id).await else {
             return;
         };
+        let behavior = after_delay(behavior).await;
         if let Some(LargeValue {
             announced_size,
             chunks,
@@ -258,6 +271,10 @@
             _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
         };
         let Ok(behavior) = behavior else { return };
+        let behavior = tokio::select! {
+            behavior = after_delay(behavior) => behavior,
+            _ = poll_fn(|cx| respond.poll_reset(cx)) => return,
+        };
         match large_value(&behavior) {
             Some(large_value) => send_large_value(large_value, &behavior, respond).await,
             None => self.respond(&behavior, respond).await,
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -13,6 +13,8 @@
 //! Clients:
 //!
 //!     send C K CLASS PLAN PARTNER [d=MS] [units=N] [body=BYTES] [k=KEY]   sends a request
+//!     send C K CLASS ... unfinished  sends a request without the end of its body (HTTP/2)
+//!     finish C K                     sends that end (HTTP/2)
 //!     raw C TEXT                     writes TEXT unchanged; \r and \n are escapes (RESP)
 //!     garbage C N                    writes N malformed bytes, until the program stops reading
 //!                                    (RESP)
@@ -68,6 +70,7 @@
 //!     truncated N                    a value of N bytes that breaks off in its middle
 //!     pieces N                       a value of N bytes that arrives slowly
 //!     short N                        announces N bytes and sends 9
+//!     after MS REPLY                 another reply, after MS
 //!     busy, error, refuse, garbage   a rejection, a failure, a refused stream, malformed bytes
 //!     unknown_error                  an error reply that the protocol does not define (RESP)
 //!     half, hang                     part of a value, then a failure / then nothing
@@ -111,6 +114,7 @@
 
 mod clients;
 mod endpoints;
+pub mod pipelined;
 mod program;
 mod services;
 mod setup;
@@ -330,6 +334,11 @@
         }
     }
 
+    /// Returns the number of attempts that have arrived for a request.
+    pub fn runs(&self, id: &str) -> usize {
+        self.shared.runs.borrow().get(id).copied().unwrap_or(0)
+    }
+
     /// Returns the number of attempts that have arrived.
     fn attempts(&self) -> usize {
         self.shared.runs.borrow().values().sum()
--- a/tests/stage/steps.rs
+++ b/tests/stage/steps.rs
@@ -23,6 +23,13 @@
     async fn write_step(&mut self, line: &str, words: &[&str]) -> bool {
         match words {
             ["send", rest @ ..] => self.send(rest).await,
+            ["finish", name, id] => {
+                let Client::Http2 { streams, .. } = self.client(name).await else {
+                    panic!("finish is for HTTP/2")
+                };
+                let (_, body) = streams.get_mut(*id).unwrap();
+                body.send_data(Bytes::from_static(b"BBBB"), true).unwrap();
+            }
             ["raw", name, ..] => {
                 let text = line.splitn(3, ' ').nth(2).unwrap_or("");
                 let text = text.replace("\\r", "\r").replace("\\n", "\n");
@@ -500,8 +507,7 @@
             }
             ["wait", ms] => tokio::time::sleep(Duration::from_millis(ms.parse().unwrap())).await,
             ["runs", id, n] => {
-                let runs = self.shared.runs.borrow().get(*id).copied().unwrap_or(0);
-                assert_eq!(runs.to_string(), *n, "{line}");
+                assert_eq!(self.runs(id).to_string(), *n, "{line}");
             }
             ["attempts", "none"] => assert_eq!(self.attempts(), self.noted_attempts, "{line}"),
             ["attempts", min] => {
