Close a draining RESP connection only after its client had time to read its answers

A client that reads slowly and keeps sending lost its last answers at a planned restart: they were written to the socket, and the client got a reset.

Cause: a draining connection was closed as soon as its answers were written and nothing was there to read. The client's next request reached a closed socket; the system answered with a reset and dropped what it had not delivered.

Change: the write side is shut down, and the client has 1.5 s to close its own; nothing is read meanwhile. A new client that needs the place ends the wait, and a connection without an answer for 1.5 s is closed at once as before.

--- a/src/frontend/resp.rs
+++ b/src/frontend/resp.rs
@@ -131,7 +131,7 @@
         let closable = connections
             .values()
             .filter_map(Weak::upgrade)
-            .filter(|c| c.is_idle() && !c.draining.get())
+            .filter(|c| c.is_idle() && (c.lingering.get() || !c.draining.get()))
             .filter(|c| !c.awaits_first_request(now));
         let order = |c: &Rc<Connection>| {
             (
--- a/src/frontend/resp/connection.rs
+++ b/src/frontend/resp/connection.rs
@@ -50,7 +50,7 @@
     pub(super) has_unparsed_input: Cell<bool>,
     /// Whether the time for a complete request has passed.
     pub(super) request_timed_out: Cell<bool>,
-    /// Whether the connection takes no more requests and discards further input before its close.
+    /// Whether the connection takes no more requests, and waits for its client's close.
     pub(super) lingering: Cell<bool>,
     /// Whether to end the lingering close early, because a new connection needs the slot in the
     /// budget.
--- a/src/frontend/resp/session.rs
+++ b/src/frontend/resp/session.rs
@@ -30,6 +30,9 @@
 /// Longest time for which input after the last request is discarded before the connection is
 /// closed.
 const LINGER: Duration = Duration::from_millis(1000);
+/// Longest time for which a drained connection waits for its client's close. A slow client reads the
+/// last answers in this time.
+const DELIVERY_WAIT: Duration = Duration::from_millis(1500);
 /// Size of the buffer for discarded input, bytes.
 const LINGER_BUFFER: usize = 16 * 1024;
 /// Most requests that are taken from one connection before other tasks run.
@@ -102,7 +105,7 @@
                 return linger(connection, &mut self.read).await;
             }
             if all_sent && connection.reading_stopped.get() {
-                return close_unread(connection, &mut self.read).await;
+                return close_in_order(connection, &self.read).await;
             }
             if self.wait(pending_answers, unsent).await.is_break() {
                 return;
@@ -232,7 +235,10 @@
                     connection.commit_input(input, count);
                     ControlFlow::Continue(())
                 }
-                _ => ControlFlow::Break(()),
+                _ => {
+                    close_in_order(connection, read).await;
+                    ControlFlow::Break(())
+                }
             };
         }
         tokio::select! {
@@ -264,30 +270,32 @@
     let _ = socket2::SockRef::from(connection.stream.as_ref()).shutdown(Shutdown::Write);
     connection.lingering.set(true);
     let client_closes = async { while read.read(&mut discarded).await.is_ok_and(|n| n > 0) {} };
-    let eviction_requested = async {
-        while !connection.eviction_requested.get() {
-            connection.wake.notified().await;
-        }
-    };
     tokio::select! {
         _ = timeout(LINGER, client_closes) => {}
-        () = eviction_requested => {}
+        () = eviction_requested(connection) => {}
     }
 }
 
-/// Closes the connection without reading what the client still sends. If there are unread bytes, the
-/// write side is shut down and the client is given until the exit of the process to close its side:
-/// a close would reset the connection, and answers that the client has not read would be lost.
-async fn close_unread(connection: &Connection, read: &mut OwnedReadHalf) {
-    let mut first_byte = [0];
-    let has_unread = tokio::select! {
-        biased;
-        peeked = read.peek(&mut first_byte) => peeked.is_ok_and(|count| count > 0),
-        () = std::future::ready(()) => false,
-    };
-    if has_unread {
-        let _ = socket2::SockRef::from(connection.stream.as_ref()).shutdown(Shutdown::Write);
-        let _ = peer_closed(read).await;
+/// Closes a connection whose answers are all written: shuts down the write side, then gives the
+/// client time to close its own. Nothing more is read. A close at once would reset the connection as
+/// soon as the client sends more, and answers that the system has not delivered yet would be lost.
+async fn close_in_order(connection: &Connection, read: &OwnedReadHalf) {
+    let inactive_ms = connection.dispatcher.now() - connection.last_active_ms.get();
+    if inactive_ms > 1e3 * DELIVERY_WAIT.as_secs_f64() {
+        return;
+    }
+    let _ = socket2::SockRef::from(connection.stream.as_ref()).shutdown(Shutdown::Write);
+    connection.lingering.set(true);
+    tokio::select! {
+        _ = timeout(DELIVERY_WAIT, peer_closed(read)) => {}
+        () = eviction_requested(connection) => {}
+    }
+}
+
+/// Waits until a new connection needs the slot of this one in the budget.
+async fn eviction_requested(connection: &Connection) {
+    while !connection.eviction_requested.get() {
+        connection.wake.notified().await;
     }
 }
 
--- a/tests/planned_restart.rs
+++ b/tests/planned_restart.rs
@@ -69,6 +69,24 @@
     });
 }
 
+/// The same with a client that reads slowly: when the ingress closes the connection, answers that it
+/// has written wait at its system. The client's further bookings must not make them get lost.
+#[test]
+fn answers_to_a_slow_reader_that_keeps_sending_at_a_planned_restart_are_delivered() {
+    run(async {
+        let mut stage = Stage::set_up(Wire::Resp, Wire::Resp, "").await;
+        // 267 kB of answers a second, of which the client reads 230 kB.
+        stage.step("always after 30 large 16000").await;
+        let clients = PipelinedClients::start(&stage, 1, PACE, Reading::Slowly).await;
+        stage.step("wait 500").await;
+        let stopped = Instant::now();
+        stage.step("stop").await;
+        let bookings = clients.ended().await;
+        stage.step("expect exit").await;
+        check_answers(&stage, &bookings, stopped);
+    });
+}
+
 /// A second process takes over while clients keep sending on their connections to the first one. No
 /// booking that the first process forwarded may be left without an answer.
 #[test]
--- a/tests/stage/pipelined.rs
+++ b/tests/stage/pipelined.rs
@@ -42,13 +42,13 @@
 pub enum Reading {
     /// As soon as they arrive.
     AtOnce,
-    /// A few at a time, with a small receive buffer: most of them wait at the program's system.
+    /// At [`SLOW_READ_RATE`], with a small receive buffer: most wait at the program's system.
     Slowly,
 }
 
-/// Most bytes that a client that reads slowly takes at a time, and its pause between two reads.
-const SLOW_READ_BYTES: usize = 6 * 1024;
-const SLOW_READ_PAUSE: Duration = Duration::from_millis(20);
+/// Rate of a client that reads slowly, bytes a second, and its pause between two reads.
+const SLOW_READ_RATE: f64 = 230e3;
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(10);
 
 /// Clients that send until their connections end.
 pub struct PipelinedClients {
@@ -124,6 +124,7 @@
 
 async fn receive(connection: Rc<Connection>, mut read: OwnedReadHalf, reading: Reading) {
     let mut buffer = Vec::new();
+    let (started_at, mut total) = (Instant::now(), 0);
     loop {
         while let Ok(Parsed::Complete(reply, used)) = endpoint_reply(&buffer) {
             let answer = match reply {
@@ -140,13 +141,20 @@
             Reading::AtOnce => read.read_buf(&mut buffer).await,
             Reading::Slowly => {
                 tokio::time::sleep(SLOW_READ_PAUSE).await;
-                let mut few = (&mut read).take(SLOW_READ_BYTES as u64);
+                let allowed = (started_at.elapsed().as_secs_f64() * SLOW_READ_RATE) as u64;
+                if allowed <= total {
+                    continue;
+                }
+                let mut few = (&mut read).take(allowed - total);
                 few.read_buf(&mut buffer).await
             }
         };
-        if !more.is_ok_and(|n| n > 0) {
-            connection.ended.set(true);
-            return;
+        match more {
+            Ok(count) if count > 0 => total += count as u64,
+            _ => {
+                connection.ended.set(true);
+                return;
+            }
         }
     }
 }
