--- a/tests/stage/clients.rs
+++ b/tests/stage/clients.rs
@@ -145,10 +145,7 @@
                 let tenant = format!("{tenant:0>16}");
                 let words = [verb, tenant.as_str(), id, &terms, &content];
                 let words = &words[..if safe { 4 } else { 5 }];
-                let mut text = format!("*{}\r\n", words.len());
-                for word in words {
-                    text.push_str(&format!("${}\r\n{word}\r\n", word.len()));
-                }
+                let text = encode_request(words);
                 stream.write_all(text.as_bytes()).await.unwrap();
                 sent.push_back(id.to_string());
             }
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -242,6 +242,13 @@
     (port, task.abort_handle())
 }
 
+/// Encodes a request in the platform's protocol: an array of bulk strings.
+fn encode_request(words: &[&str]) -> String {
+    let encode_word = |word: &&str| format!("${}\r\n{word}\r\n", word.len());
+    let encoded: String = words.iter().map(encode_word).collect();
+    format!("*{}\r\n{encoded}", words.len())
+}
+
 /// Reads more bytes into the buffer. Returns false at the end of the connection or on an error.
 async fn read_some(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
     stream.read_buf(buffer).await.is_ok_and(|n| n > 0)
--- a/tests/stage/pipelined.rs
+++ b/tests/stage/pipelined.rs
@@ -1,7 +1,8 @@
 //! RESP clients that keep sending requests on one connection, whether or not earlier ones are
 //! answered, until the connection ends.
 
-use super::{clients::connect, Stage};
+use super::clients::connect;
+use super::{encode_request, Stage};
 use driftgap::protocol::resp::{endpoint_reply, Parsed, Reply};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -13,6 +14,8 @@
 /// Terms of every request: so few units that no quota refuses it.
 const TERMS: &str = "c=book-rebroadcast,t=city,d=3000,units=0.001,spread=1,first=0";
 
+const TENANT: &str = "0000000000000007";
+
 /// The answer to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answer {
@@ -102,7 +105,7 @@
             return;
         }
         let id = format!("p{client}-{number}");
-        let text = encode(&id);
+        let text = encode_request(&["SVC.SUBMIT", TENANT, &id, TERMS, "body"]);
         connection
             .bookings
             .borrow_mut()
@@ -116,12 +119,6 @@
     }
 }
 
-fn encode(id: &str) -> String {
-    let words = ["SVC.SUBMIT", "0000000000000007", id, TERMS, "body"];
-    let words = words.map(|word| format!("${}\r\n{word}\r\n", word.len()));
-    format!("*{}\r\n{}", words.len(), words.concat())
-}
-
 async fn receive(connection: Rc<Connection>, mut read: OwnedReadHalf, reading: Reading) {
     let mut buffer = Vec::new();
     let (started_at, mut total) = (Instant::now(), 0);
--- a/tests/stage/steady.rs
+++ b/tests/stage/steady.rs
@@ -1,6 +1,6 @@
 //! Clients that send requests in sequence, over RESP or HTTP/2, and record the result of each.
 
-use super::{read_some, Stage, Wire};
+use super::{encode_request, read_some, Stage, Wire};
 use bytes::Bytes;
 use driftgap::protocol::resp::{endpoint_reply, Parsed, Reply};
 use std::cell::{Cell, RefCell};
@@ -264,11 +264,11 @@
         Class::Fetch => vec!["SVC.QUERY", &tenant, &sent.id, &terms],
         Class::Booking => vec!["SVC.SUBMIT", &tenant, &sent.id, &terms, "body"],
     };
-    let mut text = format!("*{}\r\n", words.len());
-    for word in words {
-        text.push_str(&format!("${}\r\n{word}\r\n", word.len()));
-    }
-    if stream.write_all(text.as_bytes()).await.is_err() {
+    if stream
+        .write_all(encode_request(&words).as_bytes())
+        .await
+        .is_err()
+    {
         return Answer::Nothing;
     }
     loop {
--- a/tests/stage/steps.rs
+++ b/tests/stage/steps.rs
@@ -76,9 +76,7 @@
         let request = |i: usize| {
             let id = format!("{name}{i}");
             let tenant = format!("{i:016x}");
-            let words = ["SVC.QUERY", &tenant, &id, terms];
-            let words = words.map(|word| format!("${}\r\n{word}\r\n", word.len()));
-            format!("*4\r\n{}", words.concat())
+            encode_request(&["SVC.QUERY", &tenant, &id, terms])
         };
         let text: String = (0..n.parse().unwrap()).map(request).collect();
         let Client::Resp { stream, .. } = self.client(name).await else {
