Tests: one scenario of clients that keep sending while the ingress drains

The five tests of tests/planned_restart.rs repeated the same run with other clients and drain steps. DrainScenario holds it once; the checks are the same, and the limit on the exit now applies to each test with SIGTERM.

--- a/tests/planned_restart.rs
+++ b/tests/planned_restart.rs
@@ -32,23 +32,71 @@
     assert!(late.count() > 0, "no request was answered during the drain");
 }
 
+/// Clients that send while the ingress drains, and the step that starts the drain.
+struct DrainScenario<'a> {
+    /// Settings of the stage.
+    setup: &'a str,
+    endpoint_wire: Wire,
+    /// Reply of the endpoints, as a step.
+    reply: &'a str,
+    clients: usize,
+    pace: Duration,
+    reading: Reading,
+    /// The steps that start the drain.
+    drain: &'a [&'a str],
+}
+
+impl Default for DrainScenario<'_> {
+    /// Three clients that keep sending at a planned restart.
+    fn default() -> Self {
+        DrainScenario {
+            setup: "",
+            endpoint_wire: Wire::Resp,
+            reply: BOOKED,
+            clients: 3,
+            pace: PACE,
+            reading: Reading::AtOnce,
+            drain: &["stop"],
+        }
+    }
+}
+
+impl DrainScenario<'_> {
+    /// Runs the scenario until every connection has ended, and the process after SIGTERM, and checks
+    /// the answers.
+    fn check(&self) {
+        run(async {
+            let mut stage = Stage::set_up(Wire::Resp, self.endpoint_wire, self.setup).await;
+            stage.step(self.reply).await;
+            let clients =
+                PipelinedClients::start(&stage, self.clients, self.pace, self.reading).await;
+            stage.step("wait 500").await;
+            let mut drain_began = Instant::now();
+            for step in self.drain {
+                drain_began = Instant::now();
+                stage.step(step).await;
+            }
+            let bookings = clients.ended().await;
+            if self.drain.contains(&"stop") {
+                stage.step("expect exit").await;
+                let elapsed = drain_began.elapsed();
+                assert!(elapsed < EXIT_LIMIT, "{elapsed:?}");
+            }
+            check_answers(&stage, &bookings, drain_began);
+        });
+    }
+}
+
 /// SIGTERM arrives while clients send a booking every 60 ms on connections that always have one in
 /// flight. No booking that was forwarded may be left without an answer when the process exits.
 #[test]
 fn bookings_that_keep_arriving_at_a_planned_restart_are_answered() {
     for endpoint_wire in [Wire::Resp, Wire::Http2] {
-        run(async {
-            let mut stage = Stage::set_up(Wire::Resp, endpoint_wire, "").await;
-            stage.step(BOOKED).await;
-            let clients = PipelinedClients::start(&stage, 3, PACE, Reading::AtOnce).await;
-            stage.step("wait 500").await;
-            let stopped = Instant::now();
-            stage.step("stop").await;
-            let bookings = clients.ended().await;
-            stage.step("expect exit").await;
-            assert!(stopped.elapsed() < EXIT_LIMIT, "{:?}", stopped.elapsed());
-            check_answers(&stage, &bookings, stopped);
-        });
+        DrainScenario {
+            endpoint_wire,
+            ..DrainScenario::default()
+        }
+        .check();
     }
 }
 
@@ -56,69 +104,49 @@
 /// ones. None that was forwarded may be left without an answer when the process exits.
 #[test]
 fn bookings_sent_without_a_pause_at_a_planned_restart_are_answered() {
-    run(async {
-        let mut stage = Stage::set_up(Wire::Resp, Wire::Resp, "").await;
-        stage.step(BOOKED).await;
-        let clients = PipelinedClients::start(&stage, 1, Duration::ZERO, Reading::AtOnce).await;
-        stage.step("wait 500").await;
-        let stopped = Instant::now();
-        stage.step("stop").await;
-        let bookings = clients.ended().await;
-        stage.step("expect exit").await;
-        check_answers(&stage, &bookings, stopped);
-    });
+    DrainScenario {
+        clients: 1,
+        pace: Duration::ZERO,
+        ..DrainScenario::default()
+    }
+    .check();
 }
 
 /// The same with a client that reads slowly: when the ingress closes the connection, answers that it
 /// has written wait at its system. The client's further bookings must not make them get lost.
 #[test]
 fn answers_to_a_slow_reader_that_keeps_sending_at_a_planned_restart_are_delivered() {
-    run(async {
-        let mut stage = Stage::set_up(Wire::Resp, Wire::Resp, "").await;
-        // 267 kB of answers a second, of which the client reads 230 kB.
-        stage.step("always after 30 large 16000").await;
-        let clients = PipelinedClients::start(&stage, 1, PACE, Reading::Slowly).await;
-        stage.step("wait 500").await;
-        let stopped = Instant::now();
-        stage.step("stop").await;
-        let bookings = clients.ended().await;
-        stage.step("expect exit").await;
-        check_answers(&stage, &bookings, stopped);
-    });
+    // 267 kB of answers a second, of which the client reads 230 kB.
+    DrainScenario {
+        reply: "always after 30 large 16000",
+        clients: 1,
+        reading: Reading::Slowly,
+        ..DrainScenario::default()
+    }
+    .check();
 }
 
 /// A second process takes over while clients keep sending on their connections to the first one. No
 /// booking that the first process forwarded may be left without an answer.
 #[test]
 fn bookings_that_keep_arriving_at_an_upgrade_are_answered() {
-    run(async {
-        let mut stage = Stage::set_up(Wire::Resp, Wire::Resp, "inherited_socket").await;
-        stage.step(BOOKED).await;
-        let clients = PipelinedClients::start(&stage, 3, PACE, Reading::AtOnce).await;
-        stage.step("wait 500").await;
-        stage.step("start_second").await;
-        let stopped = Instant::now();
-        stage.step("stop").await;
-        let bookings = clients.ended().await;
-        stage.step("expect exit").await;
-        check_answers(&stage, &bookings, stopped);
-    });
+    DrainScenario {
+        setup: "inherited_socket",
+        drain: &["start_second", "stop"],
+        ..DrainScenario::default()
+    }
+    .check();
 }
 
 /// Operators drain the ingress by `PAUSE` while clients keep sending. Their connections close after a
 /// bounded time, and no forwarded booking may be left without an answer.
 #[test]
 fn bookings_that_keep_arriving_after_pause_are_answered() {
-    run(async {
-        let mut stage = Stage::set_up(Wire::Resp, Wire::Resp, "").await;
-        stage.step(BOOKED).await;
-        let clients = PipelinedClients::start(&stage, 3, PACE, Reading::AtOnce).await;
-        stage.step("wait 500").await;
-        let paused = Instant::now();
-        stage.step("call ACK PAUSE").await;
-        let bookings = clients.ended().await;
-        check_answers(&stage, &bookings, paused);
-    });
+    DrainScenario {
+        drain: &["call ACK PAUSE"],
+        ..DrainScenario::default()
+    }
+    .check();
 }
 
 /// SIGTERM arrives before the end of an HTTP/2 request's body, which comes when the process has
