--- a/crates/scale/src/experiments/changes.rs
+++ b/crates/scale/src/experiments/changes.rs
@@ -71,7 +71,7 @@
 }
 
 fn endpoint(number: u64) -> String {
-    format!("instance-{number:06}")
+    format!("endpoint-{number:06}")
 }
 
 impl Experiment for ByChanges {
--- a/crates/scale/tests/hollow_group.rs
+++ b/crates/scale/tests/hollow_group.rs
@@ -45,7 +45,7 @@
 fn a_change_and_a_document_reach_every_follower() {
     let mut world = GroupWorld::start(MEMBERS, 50, 4).unwrap();
     world
-        .propose(Proposal::Suspend("instance-1".into()))
+        .propose(Proposal::Suspend("endpoint-1".into()))
         .unwrap();
     world.run_until_replicated(2_000.0).unwrap();
     world
@@ -73,7 +73,7 @@
     let (_, followers) = world.into_nodes();
     assert!(followers
         .iter()
-        .all(|follower| follower.holds("instance-1", 1)));
+        .all(|follower| follower.holds("endpoint-1", 1)));
 }
 
 #[test]
--- a/src/runtime/process_takeover/tests.rs
+++ b/src/runtime/process_takeover/tests.rs
@@ -20,7 +20,7 @@
     std::fs::remove_dir_all(&base).unwrap();
 }
 
-/// The folder cannot be written, or is removed while the process runs. Operators were told that
+/// The folder cannot be written, or is removed while the process runs. Operators were notified that
 /// their call holds at least in this process, and the next call must create the folder again.
 #[test]
 fn any_name_is_shared_and_failed_writes_hold_locally() {
