--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -127,6 +127,7 @@
 
 mod clients;
 mod endpoints;
+pub mod flood;
 pub mod mixed_replies;
 pub mod pipelined;
 mod program;
