Log rejections by cause, late answers, table sizes and the delay of timers

Change: the log has the lines 'rejection statistics' (by cause) and 'process statistics' (table sizes, the longest delay of a timer, the number of long ones), a warning for each round of timers that is 250 ms late or more, late answers in 'statistics' and 'request answered', and a line at the end of a RESP connection with 1,000 invalid requests or more. Unknown commands and wrong numbers of arguments count as invalid requests too. The statistics have a module of their own.

--- a/src/decision/admission.rs
+++ b/src/decision/admission.rs
@@ -22,6 +22,7 @@
 use super::endpoint_selection::Selection;
 use super::load_level::SampleTrigger;
 use super::quota::QuotaDecision;
+use super::rejection_counts::RejectionCause;
 use super::request::PendingRequest;
 use super::{Action, DecisionEngine, Request, RequestId};
 
@@ -49,17 +50,18 @@
             return;
         }
         if !request.is_valid(now, &self.settings) {
-            return self.reject(id, 0.0, actions);
+            return self.reject(id, RejectionCause::Invalid, 0.0, actions);
         }
         self.load.sample(now, SampleTrigger::Arrival);
         let probability = self.shed_probability(now, &request);
         if probability > 0.0 && self.random_bool(probability) {
             let retry_after = self.load_retry_after(request.class);
-            return self.reject(id, retry_after, actions);
+            return self.reject(id, RejectionCause::Load, retry_after, actions);
         }
         let decision = self.take_units(now, &request, actions);
         if let QuotaDecision::Exceeded { wait } = decision {
-            return self.reject(id, wait.max(MIN_QUOTA_RETRY_AFTER), actions);
+            let retry_after = wait.max(MIN_QUOTA_RETRY_AFTER);
+            return self.reject(id, RejectionCause::Quota, retry_after, actions);
         }
         let answer_after = request.gives_up_at - now - self.settings.resolution;
         actions.push(Action::Timer {
@@ -113,11 +115,18 @@
         if let Some(tenant) = self.tenants.get_mut(&tenant) {
             tenant.local_tokens += units;
         }
-        self.answer_without_success(id, actions);
+        self.answer_without_success(id, RejectionCause::NoEndpoint, actions);
     }
 
     /// Rejects a request that is not pending. `retry_after` is in seconds; 0 means none.
-    pub(super) fn reject(&self, id: RequestId, retry_after: f64, actions: &mut Vec<Action>) {
+    pub(super) fn reject(
+        &mut self,
+        id: RequestId,
+        cause: RejectionCause,
+        retry_after: f64,
+        actions: &mut Vec<Action>,
+    ) {
+        self.rejections.record(cause);
         actions.push(Action::Reject {
             id,
             retry_after: retry_after.min(self.settings.max_retry_after),
@@ -129,13 +138,18 @@
     pub(super) fn answer_timer_expired(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let pending = self.requests.get(&id);
         if pending.is_some_and(|pending| !pending.streaming) {
-            self.answer_without_success(id, actions);
+            self.answer_without_success(id, RejectionCause::NoTime, actions);
         }
     }
 
     /// Gives the final answer to an unsuccessful request: a rejection if no attempt may have run, a
     /// failure otherwise.
-    pub(super) fn answer_without_success(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    pub(super) fn answer_without_success(
+        &mut self,
+        id: RequestId,
+        cause: RejectionCause,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(pending) = self.requests.get(&id).filter(|pending| !pending.answered) else {
             return;
         };
@@ -143,7 +157,7 @@
             actions.push(Action::Fail { id });
         } else {
             let retry_after = self.load_retry_after(pending.request.class);
-            self.reject(id, retry_after, actions);
+            self.reject(id, cause, retry_after, actions);
         }
         self.finish(id);
     }
--- a/src/decision/attempt.rs
+++ b/src/decision/attempt.rs
@@ -16,6 +16,7 @@
 use super::endpoint::ClassAndPlan;
 use super::latency;
 use super::load_level::SampleTrigger;
+use super::rejection_counts::RejectionCause;
 use super::request::Attempt;
 use super::{Action, AttemptEnd, DecisionEngine, EndpointId, Idempotency, Outcome, RequestId};
 
@@ -121,7 +122,7 @@
         }
         let retried = end.outcome != Outcome::Cancelled && self.retry(now, end.id, actions);
         if !retried {
-            self.answer_without_success(end.id, actions);
+            self.answer_without_success(end.id, RejectionCause::AttemptsFailed, actions);
         }
     }
 
--- a/src/decision/driver.rs
+++ b/src/decision/driver.rs
@@ -7,8 +7,8 @@
 //! that the engine does not need.
 
 use crate::decision::{
-    Action, AttemptEnd, DecisionEngine, EndpointEntry, Event, ListKind, Outcome, Pools, Request,
-    Settings, SettingsError,
+    Action, AttemptEnd, DecisionEngine, EndpointEntry, Event, ListKind, Outcome, Pools,
+    RejectionCounts, Request, Settings, SettingsError,
 };
 use crate::units::MS_PER_S;
 use std::cmp::Reverse;
@@ -291,6 +291,21 @@
         None
     }
 
+    /// Returns the number of tenants that are remembered.
+    pub fn tenants(&self) -> usize {
+        self.engine.tenants()
+    }
+
+    /// Returns the number of counter calls whose totals are awaited.
+    pub fn awaited_calls(&self) -> usize {
+        self.engine.awaited_calls()
+    }
+
+    /// Returns the requests that the engine rejected since the start, by cause.
+    pub fn rejections(&self) -> RejectionCounts {
+        self.engine.rejections()
+    }
+
     /// Returns the next queued verdict, for a request that was pending or whose attempt has ended.
     pub fn next_verdict(&mut self) -> Option<(RequestId, Verdict)> {
         self.verdicts.pop_front()
--- a/src/decision/engine.rs
+++ b/src/decision/engine.rs
@@ -12,6 +12,7 @@
 use super::latency;
 use super::load_level::LoadLevel;
 use super::quota::CounterAnswer;
+use super::rejection_counts::RejectionCounts;
 use super::request::PendingRequest;
 use super::retry::RetryBudget;
 use super::shared_token_bucket::AcceptanceRatio;
@@ -48,6 +49,7 @@
     pub(super) typical_latency: Vec<f64>,
     pub(super) slow_start: SlowStart,
     pub(super) retry_budget: RetryBudget,
+    pub(super) rejections: RejectionCounts,
 }
 
 impl DecisionEngine {
@@ -83,6 +85,7 @@
             typical_latency,
             slow_start: SlowStart::new(&settings),
             retry_budget: RetryBudget::new(),
+            rejections: RejectionCounts::default(),
             settings,
         })
     }
@@ -197,4 +200,14 @@
     pub fn tenants(&self) -> usize {
         self.tenants.len()
     }
+
+    /// Returns the number of counter calls whose totals are awaited.
+    pub fn awaited_calls(&self) -> usize {
+        self.awaited_calls.len()
+    }
+
+    /// Returns the rejected requests since the start, by cause.
+    pub fn rejections(&self) -> RejectionCounts {
+        self.rejections
+    }
 }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -146,6 +146,7 @@
 mod outlier_ejection;
 mod quota;
 mod quota_lease;
+mod rejection_counts;
 mod request;
 mod retry;
 mod settings;
@@ -156,4 +157,5 @@
 
 pub use engine::DecisionEngine;
 pub use event::*;
+pub use rejection_counts::RejectionCounts;
 pub use settings::*;
--- a/src/decision/quota_lease.rs
+++ b/src/decision/quota_lease.rs
@@ -17,6 +17,7 @@
 use super::counter_call::CounterCall;
 use super::lease_window::{TotalUpdate, MIN_TRIMMED_UNITS};
 use super::quota::QuotaDecision;
+use super::rejection_counts::RejectionCause;
 use super::tenant::{Tenant, WaitingRequest};
 use super::{Action, DecisionEngine, Outcome, Plan, Request, RequestId, TenantId};
 
@@ -371,7 +372,7 @@
         let no_units_expected = tenant.call.is_none_or(|call| call.amount < 0.0);
         if call_failed || no_units_expected {
             for waiting in std::mem::take(&mut tenant.waiting) {
-                self.answer_without_success(waiting.id, actions);
+                self.answer_without_success(waiting.id, RejectionCause::NoLease, actions);
             }
         }
     }
--- a/src/decision/shared_token_bucket.rs
+++ b/src/decision/shared_token_bucket.rs
@@ -32,6 +32,7 @@
 use super::admission::MIN_QUOTA_RETRY_AFTER;
 use super::counter_call::CounterCall;
 use super::quota::QuotaDecision;
+use super::rejection_counts::RejectionCause;
 use super::stable_hash;
 use super::tenant::{Tenant, WaitingRequest};
 use super::{Action, DecisionEngine, Plan, Request, TenantId};
@@ -302,7 +303,7 @@
             self.admit(now, waiting.id, actions);
         }
         for waiting in decided.rejected {
-            self.reject(waiting.id, wait, actions);
+            self.reject(waiting.id, RejectionCause::Quota, wait, actions);
             self.finish(waiting.id);
         }
     }
--- a/src/frontend/resp.rs
+++ b/src/frontend/resp.rs
@@ -126,8 +126,7 @@
         let frontend = self.clone();
         spawn_local(async move {
             let cause = session::serve(&connection, read).await;
-            let unanswered = connection.pending_requests().len();
-            tracing::debug!(%peer, ?cause, unanswered, "RESP connection closed");
+            connection.log_end(cause);
             connection.dispatcher.client_statistics().closed(cause);
             for id in connection.pending_requests() {
                 connection.dispatcher.client_gone(id);
--- a/src/frontend/resp/connection.rs
+++ b/src/frontend/resp/connection.rs
@@ -17,6 +17,8 @@
 /// Most encoded bytes that wait to be written on one connection. Further answers wait in their
 /// slots, within the byte budget of all clients.
 const MAX_OUTPUT: usize = 1024 * 1024;
+/// Invalid requests of one connection from which its end is logged at level info.
+const LOGGED_INVALID_REQUESTS: u64 = 1000;
 /// Most bytes of an encoded answer beyond its body.
 const MAX_ANSWER_FRAME: usize = 32;
 const _: () = assert!(
@@ -54,6 +56,10 @@
     pub(super) incomplete_since_ms: Cell<Option<f64>>,
     /// Whether a complete request has arrived.
     pub(super) has_sent_request: Cell<bool>,
+    /// Complete requests that have arrived.
+    pub(super) requests: Cell<u64>,
+    /// Requests among them that make no sense.
+    pub(super) invalid_requests: Cell<u64>,
     /// Whether the input holds bytes that are not parsed into a request yet.
     pub(super) has_unparsed_input: Cell<bool>,
     /// Whether the time for a complete request has passed.
@@ -88,6 +94,8 @@
             reading_stopped: Cell::new(false),
             incomplete_since_ms: Cell::new(Some(now)),
             has_sent_request: Cell::new(false),
+            requests: Cell::new(0),
+            invalid_requests: Cell::new(0),
             has_unparsed_input: Cell::new(false),
             request_timed_out: Cell::new(false),
             lingering: Cell::new(false),
@@ -97,6 +105,25 @@
         }
     }
 
+    /// Counts a request that makes no sense.
+    pub(super) fn record_invalid_request(&self) {
+        self.invalid_requests.set(self.invalid_requests.get() + 1);
+        self.dispatcher.client_statistics().invalid_request();
+    }
+
+    /// Logs the end of the connection: at level info if its client sent very many requests that make
+    /// no sense.
+    pub(super) fn log_end(&self, cause: CloseCause) {
+        let peer = self.peer;
+        let unanswered = self.pending_requests().len();
+        let (requests, invalid) = (self.requests.get(), self.invalid_requests.get());
+        if invalid >= LOGGED_INVALID_REQUESTS {
+            tracing::info!(%peer, ?cause, unanswered, requests, invalid, "connection with many invalid requests closed");
+        } else {
+            tracing::debug!(%peer, ?cause, unanswered, requests, invalid, "RESP connection closed");
+        }
+    }
+
     /// Returns whether no answer is pending and no part of a request has arrived.
     pub(super) fn is_idle(&self) -> bool {
         let no_input_yet = !self.has_sent_request.get() && !self.has_unparsed_input.get();
--- a/src/frontend/resp/requests.rs
+++ b/src/frontend/resp/requests.rs
@@ -20,6 +20,8 @@
 pub(super) enum Received {
     /// A request that the frontend answers itself.
     Answer(&'static [u8]),
+    /// A request that makes no sense; holds its answer.
+    Invalid(&'static [u8]),
     Request(Box<ClientRequest>),
     /// Closes the connection once all answers are written.
     Quit,
@@ -50,13 +52,12 @@
                 Ok(request) => Received::Request(Box::new(request)),
                 Err(problem) => {
                     tracing::debug!(%problem, "invalid request");
-                    dispatcher.client_statistics().invalid_request();
-                    Received::Answer(INVALID_REQUEST)
+                    Received::Invalid(INVALID_REQUEST)
                 }
             }
         }
-        (VERB_SAFE | VERB_WITH_EFFECT, _) => Received::Answer(WRONG_ARGUMENTS),
-        _ => Received::Answer(UNKNOWN),
+        (VERB_SAFE | VERB_WITH_EFFECT, _) => Received::Invalid(WRONG_ARGUMENTS),
+        _ => Received::Invalid(UNKNOWN),
     }
 }
 
--- a/src/frontend/resp/session.rs
+++ b/src/frontend/resp/session.rs
@@ -274,6 +274,10 @@
             let ticket = connection.open_slot();
             match received {
                 Received::Answer(answer) => connection.answer_with(ticket, answer),
+                Received::Invalid(answer) => {
+                    connection.record_invalid_request();
+                    connection.answer_with(ticket, answer);
+                }
                 Received::Quit => {
                     connection.answer_quit(ticket);
                     return AfterRequests::Finish;
@@ -297,6 +301,7 @@
         let connection = self.connection;
         let now = connection.dispatcher.now();
         connection.last_active_ms.set(now);
+        connection.requests.set(connection.requests.get() + 1);
         connection.has_sent_request.set(true);
         connection.incomplete_since_ms.set(None);
         if connection.dispatcher.drain().state(now) >= DrainState::Draining {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -42,6 +42,6 @@
 pub(crate) use client_request::MAX_CLIENT_TIMEOUT_MS;
 pub use client_request::{ClientRequest, InvalidRequest};
 pub use recent_ids::{RequestIdHash, MAX_REMEMBERED as MAX_REMEMBERED_IDS};
-pub use request_counts::{AttemptEndCounts, RequestCounts};
+pub use request_counts::{AttemptEndCounts, RequestCounts, TableSizes};
 pub use request_table::RequestTable;
 pub use terms::{parse_decimal, term_pairs};
--- a/src/request/recent_ids.rs
+++ b/src/request/recent_ids.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns the number of ids that are known.
+    pub(super) fn len(&self) -> usize {
+        self.open.len() + self.recent.len() + self.older.len()
+    }
+
     fn is_ended(&self, id: RequestIdHash) -> bool {
         self.recent.contains(&id) || self.older.contains(&id)
     }
--- a/src/request/request_table.rs
+++ b/src/request/request_table.rs
@@ -6,12 +6,12 @@
 
 use crate::config::settings::Platform;
 use crate::decision::driver::{CounterAdd, DecisionDriver, EndpointId, Observation, RequestId};
-use crate::decision::{Class, EndpointEntry, ListKind, Outcome};
+use crate::decision::{Class, EndpointEntry, ListKind, Outcome, RejectionCounts};
 use crate::request::attempt_deadlines::AttemptDeadlines;
 use crate::request::in_flight::InFlightRequest;
 use crate::request::ready_endpoints::ReadyEndpoints;
 use crate::request::recent_ids::{RecentIds, RequestIdHash};
-use crate::request::{Action, AttemptResult, ClientRequest, RequestCounts};
+use crate::request::{Action, AttemptResult, ClientRequest, RequestCounts, TableSizes};
 use crate::units::MS_PER_S;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -61,6 +61,7 @@
     pub fn request_arrived(&mut self, now_ms: f64, request: ClientRequest) -> RequestId {
         let id = self.allocate_id();
         if !self.has_memory_for(&request) {
+            self.counts.rejected_for_memory += 1;
             self.reject_unforwarded(id, NO_MEMORY_RETRY_AFTER_MS);
             return id;
         }
@@ -97,6 +98,7 @@
     /// answer follows as [`Action::Reply`].
     pub fn reject(&mut self, retry_after_ms: f64) -> RequestId {
         let id = self.allocate_id();
+        self.counts.rejected_undecided += 1;
         self.reject_unforwarded(id, retry_after_ms);
         id
     }
@@ -281,6 +283,22 @@
         self.counts
     }
 
+    /// Requests that the decision module rejected since the start, by cause.
+    pub fn rejections(&self) -> RejectionCounts {
+        self.driver.rejections()
+    }
+
+    /// Numbers of the entries that requests leave behind.
+    pub fn table_sizes(&self) -> TableSizes {
+        TableSizes {
+            in_flight: self.in_flight.len(),
+            request_bytes: self.bytes,
+            tenants: self.driver.tenants(),
+            awaited_calls: self.driver.awaited_calls(),
+            recent_ids: self.recent_ids.len(),
+        }
+    }
+
     /// Number of endpoints that may receive requests.
     pub fn ready_endpoints(&self) -> usize {
         self.ready.len()
--- a/src/request/request_table/verdicts.rs
+++ b/src/request/request_table/verdicts.rs
@@ -102,11 +102,14 @@
             return;
         };
         entry.mark_answered();
+        let lateness_ms = now_ms - entry.request_deadline_ms;
+        self.counts.record_lateness(lateness_ms);
         tracing::debug!(
             id = entry.request.id,
             class = entry.request.attributes.class,
             answer = answer.name(),
             attempts = entry.attempts(),
+            lateness_ms,
             "request answered"
         );
         self.unanswered -= 1;
--- a/src/runtime/dispatcher.rs
+++ b/src/runtime/dispatcher.rs
@@ -21,10 +21,10 @@
 use crate::buffer::body_stream::BodyStreams;
 use crate::config::settings::{Config, Platform};
 use crate::decision::driver::{DecisionDriver, EndpointId, RequestId};
-use crate::decision::EndpointEntry;
+use crate::decision::{EndpointEntry, RejectionCounts};
 use crate::discovery::registry::EndpointRegistry;
 use crate::plugin::Plugin;
-use crate::request::{Action, FinalAnswer, RequestCounts, RequestTable};
+use crate::request::{Action, FinalAnswer, RequestCounts, RequestTable, TableSizes};
 use crate::runtime::clock::Clock;
 use driftgap_admin::{DrainControl, DrainState, ExcludedEndpoints};
 use driftgap_routes::{LimitPermit, Router};
@@ -239,6 +239,16 @@
         self.requests.borrow().counts()
     }
 
+    /// Returns the requests that the decision module rejected since the start, by cause.
+    pub fn rejections(&self) -> RejectionCounts {
+        self.requests.borrow().rejections()
+    }
+
+    /// Returns the numbers of the entries that requests leave in the tables.
+    pub fn table_sizes(&self) -> TableSizes {
+        self.requests.borrow().table_sizes()
+    }
+
     /// Returns the number of requests without a final answer.
     pub fn unanswered(&self) -> usize {
         self.requests.borrow().unanswered()
--- a/src/runtime/server.rs
+++ b/src/runtime/server.rs
@@ -14,6 +14,8 @@
 mod shutdown;
 mod signals;
 mod startup;
+mod statistics;
+mod timer_delay;
 mod timers;
 
 pub use listeners::{InheritedSocketError, ListenError};
--- a/src/runtime/server/ingress.rs
+++ b/src/runtime/server/ingress.rs
@@ -1,5 +1,6 @@
 //! The running ingress: the components around the dispatcher that are started and stopped with it.
 
+use super::timer_delay::TimerDelay;
 use crate::config::settings::Config;
 use crate::counter::Counter;
 use crate::discovery;
@@ -22,6 +23,7 @@
     pub(super) dispatcher: Rc<Dispatcher>,
     pub(super) upstream: Rc<Upstream>,
     pub(super) counter: Counter,
+    pub(super) timer_delay: TimerDelay,
     /// Differs between ingresses, to spread over time what all of them would otherwise do at once.
     seed: u64,
     discovery: RefCell<Option<DiscoveryTask>>,
@@ -55,6 +57,7 @@
             dispatcher,
             upstream,
             counter,
+            timer_delay: TimerDelay::default(),
             seed: config.seed,
             discovery: RefCell::default(),
         });
--- a/src/runtime/server/shutdown.rs
+++ b/src/runtime/server/shutdown.rs
@@ -9,7 +9,7 @@
 //! exits.
 
 use super::ingress::Ingress;
-use super::timers::log_statistics;
+use super::statistics::log_statistics;
 use crate::frontend::http2::Http2Frontend;
 use crate::frontend::resp::RespFrontend;
 use crate::runtime::dispatcher::Dispatcher;
--- a/src/runtime/server/timers.rs
+++ b/src/runtime/server/timers.rs
@@ -2,6 +2,7 @@
 //! statistics.
 
 use super::ingress::Ingress;
+use super::statistics::log_statistics;
 use std::rc::Rc;
 
 /// Longest interval between two rounds, ms. The decision module must be called at least this often.
@@ -17,7 +18,8 @@
     let mut last_sweep = dispatcher.now();
     let mut last_statistics = dispatcher.now();
     loop {
-        wait_for_next_deadline(&ingress).await;
+        let due = wait_for_next_deadline(&ingress).await;
+        ingress.timer_delay.record(due, dispatcher.now());
         dispatcher.with_requests(|requests, now| requests.tick(now));
         let now = dispatcher.now();
         ingress.counter.expire(dispatcher, now);
@@ -32,49 +34,13 @@
     }
 }
 
-async fn wait_for_next_deadline(ingress: &Ingress) {
+/// Waits until the next round is due. Returns the time at which it was due, ms.
+async fn wait_for_next_deadline(ingress: &Ingress) -> f64 {
     let dispatcher = &ingress.dispatcher;
-    let latest = dispatcher.now() + MAX_INTERVAL_MS;
+    let now = dispatcher.now();
+    let latest = now + MAX_INTERVAL_MS;
     let deadlines = [dispatcher.next_due(), ingress.counter.next_due()];
     let due = deadlines.into_iter().flatten().fold(latest, f64::min);
     tokio::time::sleep_until(dispatcher.clock().instant(due).into()).await;
-}
-
-/// Logs the request counts since the start, and the number of ready endpoints of each pool.
-pub(super) fn log_statistics(ingress: &Ingress) {
-    let dispatcher = &ingress.dispatcher;
-    let counts = dispatcher.request_counts();
-    tracing::info!(
-        received = counts.received,
-        served = counts.served,
-        rejected = counts.rejected,
-        failed = counts.failed,
-        client_gone = counts.client_gone,
-        repeated_ids = counts.repeated_ids,
-        attempts = counts.attempts,
-        counter_calls = counts.counter_calls,
-        unanswered = dispatcher.unanswered(),
-        connections = ingress.upstream.open_connections(),
-        "statistics"
-    );
-    let ends = counts.attempt_ends;
-    tracing::info!(
-        served = ends.served,
-        error = ends.error,
-        rejected = ends.rejected,
-        timeout = ends.timeout,
-        connect_failed = ends.connect_failed,
-        reset = ends.reset,
-        cancelled = ends.cancelled,
-        not_sent = ends.not_sent,
-        "attempt statistics"
-    );
-    dispatcher.client_statistics().log();
-    if let Some(pools) = dispatcher.pool_statistics() {
-        tracing::info!(
-            ready = pools.ready,
-            faults = pools.failed_evaluations,
-            "pool statistics"
-        );
-    }
+    due.max(now)
 }
--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -67,6 +67,9 @@
         if memory_mb > MEMORY_LIMIT_MB {
             faults.push(format!("{memory_mb} MB"));
         }
+        if !faults.is_empty() {
+            println!("{}", stage.log());
+        }
         let mut times: Vec<Duration> = results.iter().map(|sent| sent.took).collect();
         times.sort();
         println!(
