A connection that always has input no longer keeps the thread from all others

The session yielded after 16 requests of one read, but a read takes 1,024 bytes, some ten small requests, so that a client whose next bytes were always there was served for ever. The class: starvation by a task that does not yield.

Change: the 16 requests count over all reads.

--- a/src/discovery/poller.rs
+++ b/src/discovery/poller.rs
@@ -4,7 +4,7 @@
 
 use super::poll_schedule::PollSchedule;
 use crate::buffer::ring_buffer::{RingBuffer, RingBufferFull};
-use crate::buffer::socket_io::uninterrupted;
+use crate::buffer::socket_io::{readable, uninterrupted, writable};
 use crate::protocol::resp::{http_answer, http_answer_at_end, HttpAnswer, Malformed, Parsed};
 use crate::runtime::clock::Clock;
 use std::io::ErrorKind;
@@ -175,7 +175,7 @@
         let request = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\n\r\n");
         let mut rest = request.as_bytes();
         while !rest.is_empty() {
-            self.stream.writable().await?;
+            writable(&self.stream).await?;
             match uninterrupted(|| self.stream.try_write(rest)) {
                 Ok(written) => rest = &rest[written..],
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
@@ -192,7 +192,7 @@
                 self.input.consume(length);
                 return Ok(answer);
             }
-            self.stream.readable().await?;
+            readable(&self.stream).await?;
             let free = self.input.free_slice()?;
             match uninterrupted(|| self.stream.try_read(free)) {
                 Ok(0) => return self.answer_at_end(),
--- a/src/frontend/resp/session.rs
+++ b/src/frontend/resp/session.rs
@@ -64,6 +64,7 @@
         end: CloseCause::Orderly,
         needed: 1,
         backlog: None,
+        taken_in_turn: 0,
     };
     session.run().await
 }
@@ -83,6 +84,8 @@
     needed: usize,
     /// Requests that may have waited since reading or taking stopped.
     backlog: Option<Backlog>,
+    /// Requests that were taken since other tasks last ran, over any number of reads.
+    taken_in_turn: usize,
 }
 
 /// Requests that have arrived and were not taken, in the input or still at the system.
@@ -119,9 +122,10 @@
                 self.finish_with(TIMED_OUT, CloseCause::RequestTimeout);
             }
             let pending_answers = connection.pending_answer_count();
-            if self.has_requests() && !self.input.is_empty() && pending_answers < MAX_PIPELINED {
-                // Let other connections run: a client may send hundreds of requests at once.
-                tokio::task::yield_now().await;
+            let may_take_more =
+                self.has_requests() && !self.input.is_empty() && pending_answers < MAX_PIPELINED;
+            if may_take_more || self.turn_is_over() {
+                self.give_way().await;
                 continue;
             }
             if let Some(cause) = connection.failure.get() {
@@ -143,6 +147,19 @@
         }
     }
 
+    /// Returns whether as many requests were taken as one connection may before other tasks run.
+    fn turn_is_over(&self) -> bool {
+        self.taken_in_turn >= REQUESTS_PER_TURN
+    }
+
+    /// Lets other connections run: a client may send hundreds of requests at once, or one after the
+    /// other without a pause. Requests that arrive meanwhile have waited.
+    async fn give_way(&mut self) {
+        self.taken_in_turn = 0;
+        self.note_backlog();
+        tokio::task::yield_now().await;
+    }
+
     /// Returns whether the input may hold a complete request.
     fn has_requests(&self) -> bool {
         self.accepts_requests && self.input.len() >= self.needed
@@ -248,11 +265,11 @@
         }
     }
 
-    /// Takes up to [`REQUESTS_PER_TURN`] complete requests from the input and dispatches them.
-    /// Requests of a disconnected client are not started.
+    /// Takes complete requests from the input and dispatches them, until [`REQUESTS_PER_TURN`] were taken
+    /// in this turn. Requests of a disconnected client are not started.
     fn dispatch_complete_requests(&mut self, client_gone: bool) -> AfterRequests {
         let connection = self.connection;
-        for _ in 0..REQUESTS_PER_TURN {
+        while !self.turn_is_over() {
             if connection.answers.borrow().len() >= MAX_PIPELINED {
                 return AfterRequests::Continue;
             }
@@ -270,6 +287,7 @@
                 }
             };
             self.input.consume(length);
+            self.taken_in_turn += 1;
             self.record_request();
             let ticket = connection.open_slot();
             match received {
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -2,7 +2,7 @@
 //! connection carries one request at a time.
 
 use crate::buffer::ring_buffer::{RingBuffer, RingBufferFull};
-use crate::buffer::socket_io::uninterrupted;
+use crate::buffer::socket_io::{readable, uninterrupted, writable};
 use crate::protocol::resp::{endpoint_reply, streamed_reply, Parsed, Reply, StreamedReply};
 use crate::runtime::dispatcher::ByteBudget;
 use crate::upstream::dead_connections::{IdleClass, NEW_CONNECTION};
@@ -133,7 +133,7 @@
             match written {
                 Ok(_) => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    if self.stream.writable().await.is_err() {
+                    if writable(&self.stream).await.is_err() {
                         return false;
                     }
                 }
@@ -240,13 +240,13 @@
     /// # Errors
     /// The connection ended.
     async fn readable_until(&self, until: Option<Instant>) -> Result<bool, ReplyError> {
-        let readable = match until {
-            Some(until) => match timeout_at(until, self.stream.readable()).await {
-                Ok(readable) => readable,
+        let result = match until {
+            Some(until) => match timeout_at(until, readable(&self.stream)).await {
+                Ok(result) => result,
                 Err(_) => return Ok(false),
             },
-            None => self.stream.readable().await,
+            None => readable(&self.stream).await,
         };
-        readable.map(|()| true).map_err(|_| ReplyError::Ended)
+        result.map(|()| true).map_err(|_| ReplyError::Ended)
     }
 }
--- a/src/upstream/resp_exchange.rs
+++ b/src/upstream/resp_exchange.rs
@@ -2,7 +2,7 @@
 //! value to the client.
 
 use crate::buffer::body_stream::BodySender;
-use crate::buffer::socket_io::uninterrupted;
+use crate::buffer::socket_io::{readable, uninterrupted};
 use crate::config::settings::Platform;
 use crate::decision::driver::EndpointId;
 use crate::decision::Outcome;
@@ -203,13 +203,13 @@
             Some(Ok(0)) => return false,
             Some(Ok(_)) => {}
             Some(Err(e)) if e.kind() == ErrorKind::WouldBlock => {
-                let readable = async {
+                let more_to_do = async {
                     tokio::select! {
-                        ready = stream.readable() => ready.is_ok(),
+                        ready = readable(stream) => ready.is_ok(),
                         () = sender.wait_for_space() => true,
                     }
                 };
-                if !timeout(STREAM_STALL_TIMEOUT, readable)
+                if !timeout(STREAM_STALL_TIMEOUT, more_to_do)
                     .await
                     .unwrap_or(false)
                 {
@@ -239,7 +239,7 @@
             }
         }
         if !connection.read_available().ok()? {
-            connection.stream().readable().await.ok()?;
+            readable(connection.stream()).await.ok()?;
         }
     }
 }
