--- a/tests/stage/flood.rs
+++ b/tests/stage/flood.rs
@@ -222,7 +222,7 @@
 
 /// Connects from the address of the program, so that the ports of 127.0.0.1 stay free for the
 /// listeners of other tests.
-fn connect(address: &str) -> std::io::Result<TcpStream> {
+pub(super) fn connect(address: &str) -> std::io::Result<TcpStream> {
     let address: SocketAddr = address.parse().unwrap();
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.bind(&SocketAddr::new(address.ip(), 0).into())?;
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -129,6 +129,7 @@
 mod endpoints;
 pub mod flood;
 pub mod mixed_replies;
+pub mod noisy_peers;
 pub mod pipelined;
 mod program;
 mod services;
