Soak: clients at full speed in two of three seeds; floods whose answers nobody reads

Change: fault_soak starts up to two clients of one kind of flood, from random numbers of their own, so that the other faults of a seed stay as they were. A connect to a socket whose queue is full is given up after 2 s: a flood of new connections fills the queue once no process accepts any more, and the system tries for two minutes. client_floods has a flood of PINGs whose answers nobody reads, and FLOOD_SECONDS prolongs its floods.

--- a/tests/client_floods.rs
+++ b/tests/client_floods.rs
@@ -1,5 +1,6 @@
 //! Clients that send small or unsound requests at full speed, while sound clients send requests in
 //! sequence. The sound ones must keep their answers, and the memory of the program its bound.
+//! `FLOOD_SECONDS=N` prolongs each flood.
 
 mod stage;
 
@@ -13,7 +14,7 @@
 /// Latest time for an answer: the deadline of these clients (1 s) and half a second, after which a
 /// request is lost.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
-/// Length of a flood: longer than an answer may take.
+/// Length of a flood, unless `FLOOD_SECONDS` is set: longer than an answer may take.
 const FLOOD_TIME: Duration = Duration::from_millis(2500);
 /// Time before a flood in which the clients connect.
 const QUIET_TIME: Duration = Duration::from_millis(300);
@@ -23,6 +24,13 @@
 const ONE_CLIENT: usize = 1;
 const SEVERAL_CLIENTS: usize = 6;
 
+fn flood_time() -> Duration {
+    let seconds = std::env::var("FLOOD_SECONDS");
+    seconds.map_or(FLOOD_TIME, |seconds| {
+        Duration::from_secs(seconds.parse().expect("FLOOD_SECONDS is a number"))
+    })
+}
+
 /// Starts sound clients over both protocols, one for each class.
 fn start_sound_clients(clients: &std::rc::Rc<SequentialClients>) {
     for (tenant, class) in [(7, Class::Fetch), (8, Class::Booking)] {
@@ -59,7 +67,7 @@
         stage.step(&format!("counter {}", self.counter)).await;
         let clients = self.flooding_clients;
         let flooding = FloodingClients::start(&stage, self.flooding_wire, self.kind, clients);
-        tokio::time::sleep(FLOOD_TIME).await;
+        tokio::time::sleep(flood_time()).await;
         let stopped = tokio::task::spawn_blocking(|| flooding.stop()).await;
         let results = sound.stop().await;
         let mut faults = self.faults(&stage, &results);
--- a/tests/fault_soak.rs
+++ b/tests/fault_soak.rs
@@ -1,6 +1,7 @@
 //! A seeded mix of faults against the real program. Clients keep using their open connections until
-//! the program has ended; endpoints pause, stall and fail; other clients send unsound requests or
-//! fill the descriptors; signals come in series, upgrades among them, and the last one is SIGTERM.
+//! the program has ended; endpoints pause, stall and fail; other clients send unsound requests, also
+//! at full speed, or fill the descriptors; signals come in series, upgrades among them, and the last
+//! one is SIGTERM.
 //!
 //! The checks look from the outside only: each request that was read has one whole answer of its
 //! own, nothing with an effect runs twice, no unsound request is served, and the program ends in
@@ -9,6 +10,7 @@
 mod stage;
 
 use driftgap::protocol::resp::{endpoint_reply, Parsed, Reply};
+use stage::flood::{Flood, FloodingClients};
 use stage::mixed_replies::{reply_to, LARGE_BYTES};
 use stage::{run, Stage, Wire};
 use std::cell::{Cell, RefCell};
@@ -22,10 +24,14 @@
 
 /// Seeds of the default run.
 const DEFAULT_SEEDS: std::ops::RangeInclusive<u32> = 1..=6;
+/// The first seed of the random numbers of floods.
+const FLOOD_SEEDS: u64 = 1 << 32;
 /// Number of clients that send sound requests.
 const CLIENTS: usize = 12;
 /// Time that a request may take beyond its deadline until its answer is there.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Time after which a client gives up an attempt to connect.
+const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 /// Longest time from SIGTERM to the end of the program: the longest deadline and 0.7 s.
 const STOP_TIME: Duration = Duration::from_millis(3700);
 /// Time before the last SIGTERM in which a connection may be left in the queue of the socket, from
@@ -118,6 +124,12 @@
     }
 }
 
+/// Connects, unless the socket's queue stays full: clients that connect at full speed fill it once no
+/// process accepts any more.
+async fn connect(address: &str) -> std::io::Result<TcpStream> {
+    timeout(CONNECT_LIMIT, TcpStream::connect(address)).await?
+}
+
 /// Sends PING. Returns false if there is no answer: the connection may wait in the socket's queue when
 /// the last process stops.
 async fn is_accepted(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
@@ -130,7 +142,7 @@
 async fn sound_client(shared: Rc<Shared>, address: String, seed: u64) {
     let mut rng = oorandom::Rand32::new(seed);
     while shared.stopped_at.get().is_none() {
-        let Ok(mut stream) = TcpStream::connect(&address).await else {
+        let Ok(mut stream) = connect(&address).await else {
             sleep(Duration::from_millis(20)).await;
             continue;
         };
@@ -197,7 +209,7 @@
     let mut rng = oorandom::Rand32::new(seed);
     while shared.stopped_at.get().is_none() {
         sleep(Duration::from_millis(30)).await;
-        let Ok(mut stream) = TcpStream::connect(&address).await else {
+        let Ok(mut stream) = connect(&address).await else {
             continue;
         };
         let mut buffer = Vec::new();
@@ -250,7 +262,7 @@
     while shared.stopped_at.get().is_none() {
         let number = shared.next_id.replace(shared.next_id.get() + 1);
         let id = format!("left{number:06}");
-        if let Ok(mut stream) = TcpStream::connect(&address).await {
+        if let Ok(mut stream) = connect(&address).await {
             let _ = stream.write_all(&encode(&id, true, 2900)).await;
             sleep(Duration::from_millis(60)).await;
             drop(stream);
@@ -280,6 +292,17 @@
     }
 }
 
+/// Starts clients that send at full speed, in two of three runs.
+fn start_flood(stage: &Stage, seed: u32) -> Option<FloodingClients> {
+    // Random numbers of its own: the other faults of a seed stay as they are.
+    let mut rng = oorandom::Rand32::new(FLOOD_SEEDS + u64::from(seed));
+    let kinds = Flood::all(Wire::Resp);
+    let kind = kinds[random(&mut rng, kinds.len() as u32) as usize];
+    let clients = random(&mut rng, 3) as usize;
+    println!("{clients} x {kind:?}");
+    (clients > 0).then(|| FloodingClients::start(stage, Wire::Resp, kind, clients))
+}
+
 async fn soak(seed: u32) -> Vec<String> {
     let mut rng = oorandom::Rand32::new(seed.into());
     let endpoint_wire = if random(&mut rng, 2) == 0 {
@@ -309,6 +332,7 @@
     if random(&mut rng, 3) == 0 {
         stage.step("idle 120").await;
     }
+    let flood = start_flood(&stage, seed);
     signals(&mut stage, &mut rng).await;
     sleep(Duration::from_millis(300)).await;
     stage.step("stop").await;
@@ -320,6 +344,9 @@
     for client in clients {
         client.await.unwrap();
     }
+    if let Some(flood) = flood {
+        flood.stop();
+    }
     check_requests(&shared, &stage);
     let violations = shared.violations.take();
     if !violations.is_empty() {
--- a/tests/stage/flood.rs
+++ b/tests/stage/flood.rs
@@ -19,7 +19,7 @@
 const STREAMS_PER_TURN: usize = 64;
 /// Frames in one write of a client that writes HTTP/2 frames.
 const FRAMES_PER_WRITE: usize = 1000;
-/// Time limit of a blocking call, so that the threads end.
+/// Time limit of a blocking call, so that the threads end: also when nobody accepts any more.
 const SOCKET_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay between two attempts to connect when there is no free port.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(1);
@@ -47,6 +47,8 @@
     NewCommands,
     /// PING (RESP: the command, HTTP/2: the frame).
     Pings,
+    /// The same without reading the answers.
+    UnreadPings,
     /// One malformed request, then noise on the same connection (RESP).
     NoiseAfterMalformed,
     /// QUIT, then noise on the same connection (RESP).
@@ -73,6 +75,7 @@
                 Flood::SameId,
                 Flood::NewCommands,
                 Flood::Pings,
+                Flood::UnreadPings,
                 Flood::NoiseAfterMalformed,
                 Flood::NoiseAfterQuit,
                 Flood::NewConnections,
@@ -85,6 +88,7 @@
                 Flood::NewIds,
                 Flood::SameId,
                 Flood::Pings,
+                Flood::UnreadPings,
                 Flood::NewConnections,
                 Flood::Settings,
                 Flood::Priorities,
@@ -146,7 +150,7 @@
 
     fn resp_request(&self) -> Vec<u8> {
         match self.flood {
-            Flood::Pings => return b"*1\r\n$4\r\nPING\r\n".to_vec(),
+            Flood::Pings | Flood::UnreadPings => return b"*1\r\n$4\r\nPING\r\n".to_vec(),
             Flood::NewCommands => {
                 return encode_request(&[&format!("CMD{}", self.next_number())]).into_bytes();
             }
@@ -226,7 +230,7 @@
     let address: SocketAddr = address.parse().unwrap();
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.bind(&SocketAddr::new(address.ip(), 0).into())?;
-    socket.connect(&address.into())?;
+    socket.connect_timeout(&address.into(), SOCKET_TIMEOUT)?;
     Ok(socket.into())
 }
 
@@ -241,7 +245,9 @@
         stream.set_nodelay(true).unwrap();
         match (wire, state.flood) {
             (Wire::Resp, _) => run_resp_connection(state, stream),
-            (Wire::Http2, Flood::Pings) => write_frames(state, stream, HTTP2_PING),
+            (Wire::Http2, Flood::Pings | Flood::UnreadPings) => {
+                write_frames(state, stream, HTTP2_PING)
+            }
             (Wire::Http2, Flood::Settings) => write_frames(state, stream, HTTP2_SETTINGS),
             (Wire::Http2, Flood::Priorities) => write_frames(state, stream, HTTP2_PRIORITY),
             (Wire::Http2, _) => run_http2_connection(state, stream),
@@ -249,10 +255,13 @@
     }
 }
 
-/// Reads and discards answers until the connection ends.
+/// Reads and discards answers until the connection ends, unless the client reads none.
 fn discard_answers(state: Arc<FloodState>, stream: &TcpStream) -> JoinHandle<()> {
     let mut stream = stream.try_clone().unwrap();
     std::thread::spawn(move || {
+        if state.flood == Flood::UnreadPings {
+            return;
+        }
         let mut buffer = vec![0; 64 * 1024];
         while state.runs() {
             match stream.read(&mut buffer) {
