--- a/src/frontend/resp.rs
+++ b/src/frontend/resp.rs
@@ -2,10 +2,11 @@
 //!
 //! This module accepts connections and keeps their number within the process's budget. `connection`
 //! is the state of one connection, `session` its loop from the first byte to the close, `requests`
-//! the interpretation of its requests, and `answers` the order of pipelined answers. Nothing here
-//! decides about a request.
+//! the interpretation of its requests, `answers` the order of pipelined answers, and `close` the end of
+//! a connection. Nothing here decides about a request.
 
 mod answers;
+mod close;
 mod connection;
 mod requests;
 mod session;
