Tests of stored data listen on a loopback address of their own

Cause, as far as it can be told without the log of that process: the tests take a port that is free on 127.0.0.1 and release it; until the ingress listens there, a client of any other program can get it as its own port.

Change: an address of the 127 network and ports that no other test has, as the other tests do. No check is changed.

--- a/tests/stored_data.rs
+++ b/tests/stored_data.rs
@@ -12,6 +12,7 @@
 use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_driftgap");
@@ -95,13 +96,17 @@
     }
 }
 
-/// Returns a port on which nobody listens at the moment.
+/// Returns a loopback address that no other test program uses. On 127.0.0.1 a client of another program
+/// may take a port as its own before the ingress listens there.
+fn host() -> String {
+    let process = std::process::id();
+    format!("127.{}.{}.1", 210 + process % 40, process / 40 % 250)
+}
+
+/// Returns a port of [`host`] that no other test of this program uses.
 fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-        .port()
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
+    NEXT_PORT.fetch_add(1, Ordering::Relaxed)
 }
 
 /// Builds the platform's configuration of one ingress with the endpoints `a` to `d`.
@@ -112,8 +117,9 @@
         )
     };
     let servers: Vec<String> = ["a", "b", "c", "d"].map(server).into();
+    let host = host();
     format!(
-        r#"{{"name":"{name}","listen":"127.0.0.1:{clients}","operator":"127.0.0.1:{admin_port}","settings":{SETTINGS},
+        r#"{{"name":"{name}","listen":"{host}:{clients}","operator":"{host}:{admin_port}","settings":{SETTINGS},
             "known":{{"version":1,"full":true,"servers":[{}]}}}}"#,
         servers.join(",")
     )
@@ -127,17 +133,17 @@
         .unwrap();
     Ingress {
         child,
-        admin_address: format!("127.0.0.1:{admin_port}"),
+        admin_address: format!("{}:{admin_port}", host()),
     }
 }
 
 /// Builds an operator's file with a folder and three members, none of which listens at its address.
 fn group_file(listen: Option<u16>) -> String {
     let listen = listen.map_or(String::new(), |port| {
-        format!("listen = \"127.0.0.1:{port}\"\n")
+        format!("listen = \"{}:{port}\"\n", host())
     });
     let members: String = ["m0", "m1", "m2"]
-        .map(|name| format!("{name} = \"127.0.0.1:{}\"\n", free_port()))
+        .map(|name| format!("{name} = \"{}:{}\"\n", host(), free_port()))
         .concat();
     format!("[group]\n{listen}folder = \"group\"\n[group.members]\n{members}")
 }
@@ -214,7 +220,7 @@
 fn older_takeover_state_is_applied() {
     let folder = Folder::new("takeover");
     folder.copy_fixture("takeover/driftgap-6d39-out", "driftgap-6d39-out");
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = TcpListener::bind(format!("{}:0", host())).unwrap();
     let admin_port = free_port();
     let clients = listener.local_addr().unwrap().port();
     let config = folder.write("config.json", &config("m9", clients, admin_port));
