--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/stand-ins-2"
 out=../../target/review-2
 mkdir -p "$out"
-for case in window group restart plugin; do
+for case in window group restart plugin stuck; do
     rustc --edition 2021 -O -o "$out/$case" "$case.rs"
 done
