Loading a plug-in script no longer takes all memory or waits without end

A path that names a pipe is opened and waited for.

Evidence: both new tests failed on the code before (constants: no result within the bound; pipe: the test did not end within 25 s) and pass now.

--- a/src/plugin/engine.rs
+++ b/src/plugin/engine.rs
@@ -9,11 +9,14 @@
 //! | `replace` | its result may be as long as the product of two sizes | fails before it builds a result that is too long |
 //! | `curry` | a function pointer that contains itself repeatedly grows exponentially | disabled |
 //! | `eval` | compiles at run time | disabled |
+//!
+//! Scripts are compiled without optimization, which would evaluate constants without these bounds.
 
 use super::run_time::RunDeadline;
 use super::PluginSettings;
 use rhai::{
-    Dynamic, Engine, EvalAltResult, ImmutableString, NativeCallContext, Position, FLOAT, INT,
+    Dynamic, Engine, EvalAltResult, ImmutableString, NativeCallContext, OptimizationLevel,
+    Position, FLOAT, INT,
 };
 
 /// Deepest nesting of calls in a script. Protects the stack of the serving thread.
@@ -31,6 +34,7 @@
 pub(super) fn bounded_engine(settings: &PluginSettings, deadline: RunDeadline) -> Engine {
     let mut engine = Engine::new();
     engine
+        .set_optimization_level(OptimizationLevel::None)
         .set_max_operations(settings.operations)
         .set_max_call_levels(MAX_CALL_DEPTH)
         .set_max_expr_depths(MAX_EXPRESSION_DEPTH, MAX_EXPRESSION_DEPTH)
--- a/src/plugin/mod.rs
+++ b/src/plugin/mod.rs
@@ -10,12 +10,15 @@
 //! | --- | --- |
 //! | `engine` | the engine with its bounds, and the standard functions that it replaces |
 //! | `run_time` | the time limit of a run, and the share of the thread for runs that reach it |
+//! | `script_file` | reading the file of a script |
 //! | `verdict` | reading the result of a hook |
 
 mod engine;
 mod run_time;
+mod script_file;
 mod verdict;
 
+pub use script_file::ScriptFileError;
 pub use verdict::PluginVerdict;
 
 use crate::config::settings::Platform;
@@ -79,7 +82,7 @@
 pub enum PluginError {
     /// The file cannot be read.
     #[error("{0}: cannot read the script: {1}")]
-    Read(String, std::io::Error),
+    Read(String, ScriptFileError),
     /// The script does not compile: file, line and fault.
     #[error("{0}, line {1}: the script does not compile: {2}")]
     Parse(String, usize, String),
@@ -123,7 +126,7 @@
         let path = folder.join(&settings.script);
         let name = path.display().to_string();
         let text =
-            std::fs::read_to_string(&path).map_err(|e| PluginError::Read(name.clone(), e))?;
+            script_file::read_script(&path).map_err(|e| PluginError::Read(name.clone(), e))?;
         Plugin::new(settings, name, &text)
     }
 
--- a/src/plugin/tests.rs
+++ b/src/plugin/tests.rs
@@ -139,6 +139,20 @@
     assert_eq!(verdict, PluginVerdict::Reject(1000.0));
 }
 
+/// Constants that each contain the one before twice are evaluated at load if the compiler optimizes:
+/// 26 of them took all memory. The script must load at once, and fail on a request.
+#[test]
+fn constants_that_double_in_size_are_not_evaluated_at_load() {
+    let doubled = |i: usize| format!("const A{i} = [A{0}, A{0}];", i - 1);
+    let constants: String = (1..22).map(doubled).collect();
+    let script = format!("fn decide(c) {{ const A0 = [1, 2]; {constants} }}");
+    let started = Instant::now();
+    let verdict = decide_with(&script, &default_settings());
+    let held = started.elapsed();
+    assert_eq!(verdict, PluginVerdict::Reject(1000.0));
+    assert!(held <= MAX_HOLD, "{held:?}");
+}
+
 /// `replace` is bounded by its result: it must work as before where the result is short enough.
 #[test]
 fn replace_gives_the_same_results_within_the_bound() {
@@ -164,6 +178,27 @@
     assert_eq!(verdict, PluginVerdict::Pass(notes.to_vec()));
 }
 
+/// The script's path names a pipe, which nobody writes to, or a file that is too long to be compiled in
+/// time. Loading must fail at once.
+#[test]
+fn script_that_is_no_regular_file_or_too_long_is_not_read() {
+    let folder = std::env::temp_dir().join(format!("driftgap-script-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let mut make_pipe = std::process::Command::new("mkfifo");
+    let made = make_pipe.arg(folder.join("pipe.rhai")).status().unwrap();
+    assert!(made.success());
+    std::fs::write(folder.join("long.rhai"), "// ".repeat(30_000)).unwrap();
+    for (name, expected) in [("pipe.rhai", "regular file"), ("long.rhai", "65536 bytes")] {
+        let settings = PluginSettings {
+            script: name.into(),
+            ..default_settings()
+        };
+        let error = Plugin::load(&settings, &folder).err().unwrap().to_string();
+        assert!(error.contains(name) && error.contains(expected), "{error}");
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 #[test]
 fn load_error_names_the_script_and_the_line() {
     let load = |text| {
