The rest of a request is no longer sent after the window for repeats

Cause: the window was checked when an attempt was decided, not when its last byte was sent. Over HTTP/2 `h2` took the whole body at once and sent the rest when the endpoint opened its window; over RESP the system's send buffer did the same.

Change: an attempt carries the time by which its last byte must be written: the end of the window, its deadline, and 0.1 s after its first byte, since the time that it names as its client's is wrong by then. A body waits for flow control in `upstream::http2_request`, and a piece is passed to `h2` only when it can be sent at once. A request that reaches the limit cannot have run, so it ends like an attempt without a connection and may go to another endpoint. Over RESP the system ends the connection of a repeat if the endpoint's system takes no bytes until the window ends (TCP_USER_TIMEOUT).

--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -6,6 +6,10 @@
 use crate::request::{ClientRequest, ResponseBody};
 use std::rc::Rc;
 
+/// How long writing a request may take once it has begun, ms. The request names the time that its client
+/// still waits, and the platform accepts 150 ms too much; the rest is for the way to the endpoint.
+pub const MAX_WRITE_MS: f64 = 100.0;
+
 /// An attempt to start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AttemptStart {
@@ -19,6 +23,12 @@
     pub request: Rc<ClientRequest>,
     /// The deadline of the attempt, ms on the ingress's clock.
     pub deadline_ms: f64,
+    /// When the last byte of the request must have been written, ms on the ingress's clock; otherwise
+    /// it must not be written at all. An endpoint runs a request once it is whole, however late.
+    pub written_by_ms: f64,
+    /// When the last byte must have arrived, if the endpoint must discard the request as a repeat, ms on
+    /// the ingress's clock.
+    pub repeat_window_end_ms: Option<f64>,
 }
 
 /// How an attempt ended.
--- a/src/request/in_flight.rs
+++ b/src/request/in_flight.rs
@@ -15,7 +15,8 @@
 //!
 //! The decision module applies the same rule when it chooses a retry (`decision::retry`); this
 //! module enforces the rule whatever the decision module asks for. The margins differ: this check
-//! adds the time that establishing a connection may take.
+//! adds the time that establishing a connection may take. An attempt that is sent also carries the end
+//! of the window as the time by which it must be written completely.
 //!
 //! An attempt counts as one that may have run from the moment it is sent until its outcome proves
 //! that it did not (`attempt::may_have_run`).
@@ -189,6 +190,17 @@
         }
     }
 
+    /// The end of the window in which an endpoint discards a further attempt as a repeat, ms; none if
+    /// no endpoint needs to.
+    pub(super) fn repeat_window_end_ms(&self, class: &Class) -> Option<f64> {
+        if class.idempotency != Idempotency::Keyed {
+            return None;
+        }
+        self.attempts_that_may_have_run()
+            .map(|attempt| attempt.sent_ms + MS_PER_S * class.idempotency_window)
+            .min_by(f64::total_cmp)
+    }
+
     /// Whether an endpoint may have run the request.
     pub(super) fn may_have_run(&self) -> bool {
         self.attempts_that_may_have_run().next().is_some()
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -38,7 +38,7 @@
 
 pub use action::Action;
 pub use answer::{FinalAnswer, ResponseBody};
-pub use attempt::{AttemptResult, AttemptStart};
+pub use attempt::{AttemptResult, AttemptStart, MAX_WRITE_MS};
 pub(crate) use client_request::MAX_CLIENT_TIMEOUT_MS;
 pub use client_request::{ClientRequest, InvalidRequest};
 pub use recent_ids::{RequestIdHash, MAX_REMEMBERED as MAX_REMEMBERED_IDS};
--- a/src/request/request_table/attempts.rs
+++ b/src/request/request_table/attempts.rs
@@ -4,7 +4,7 @@
 use crate::decision::driver::{AttemptReport, EndpointId, Observation, RequestId};
 use crate::decision::Outcome;
 use crate::request::in_flight::{InFlightRequest, Location, NextAttempt};
-use crate::request::{Action, AttemptResult, AttemptStart, FinalAnswer};
+use crate::request::{Action, AttemptResult, AttemptStart, FinalAnswer, MAX_WRITE_MS};
 
 impl RequestTable {
     /// Sends an attempt that lasts at most `timeout_ms`; 0 means until the request's deadline.
@@ -16,6 +16,7 @@
         timeout_ms: f64,
     ) {
         let location = self.allowed_location(now_ms, id, endpoint);
+        let repeat_window_end_ms = self.repeat_window_end_ms(id);
         let Some(entry) = self.in_flight.get_mut(&id) else {
             return;
         };
@@ -34,6 +35,10 @@
         } else {
             entry.request_deadline_ms
         };
+        let latest_write_ms = now_ms + self.platform.connect_timeout_ms + MAX_WRITE_MS;
+        let written_by_ms = latest_write_ms
+            .min(attempt_deadline_ms)
+            .min(repeat_window_end_ms.unwrap_or(f64::INFINITY));
         let request = entry.request.clone();
         tracing::debug!(id = request.id, attempt, endpoint, "attempt sent");
         self.counts.attempts += 1;
@@ -44,9 +49,16 @@
             endpoint,
             request,
             deadline_ms: attempt_deadline_ms,
+            written_by_ms,
+            repeat_window_end_ms,
         }));
     }
 
+    fn repeat_window_end_ms(&self, id: RequestId) -> Option<f64> {
+        let entry = self.in_flight.get(&id)?;
+        entry.repeat_window_end_ms(self.class(&entry.request))
+    }
+
     /// Returns the endpoint's location if the request may be sent to it now. Enforces these rules
     /// whatever the decision module asks for: no request to an endpoint that is draining or
     /// removed, two running attempts only if the settings allow hedged requests, no more attempts
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -107,6 +107,13 @@
         self.input.borrow_mut()
     }
 
+    /// Lets the system end the connection if the endpoint's system takes no bytes for this long, so that
+    /// bytes which wait in the send buffer are not delivered later. `None` removes the limit.
+    pub(super) fn set_send_timeout(&self, limit: Option<Duration>) {
+        // Fails only if the socket is closed.
+        let _ = socket2::SockRef::from(&self.stream).set_tcp_user_timeout(limit);
+    }
+
     /// Queues bytes for writing.
     ///
     /// # Errors
@@ -116,14 +123,17 @@
     }
 
     /// Writes the queued bytes. Returns false if the connection ended before the last byte was
-    /// written.
-    pub(super) async fn write_queued(&self) -> bool {
+    /// written, or if `may_write` no longer allowed it.
+    pub(super) async fn write_queued(&self, may_write: impl Fn() -> bool) -> bool {
         loop {
             let written = {
                 let mut output = self.output.borrow_mut();
                 if output.is_empty() {
                     return true;
                 }
+                if !may_write() {
+                    return false;
+                }
                 let written = uninterrupted(|| self.stream.try_write(output.first_slice()));
                 if let Ok(n) = written {
                     output.consume(n);
--- a/src/upstream/health_check.rs
+++ b/src/upstream/health_check.rs
@@ -42,7 +42,7 @@
     let words = wire_names::LOAD_REPORT_REQUEST;
     let mut bytes = Vec::new();
     push_words(&mut bytes, words.len(), words.iter().map(|w| w.as_bytes()));
-    if connection.queue(&bytes).is_err() || !connection.write_queued().await {
+    if connection.queue(&bytes).is_err() || !connection.write_queued(|| true).await {
         return without_report(Outcome::ConnectFailed);
     }
     let platform = upstream.dispatcher.platform();
--- a/src/upstream/http2_exchange.rs
+++ b/src/upstream/http2_exchange.rs
@@ -1,5 +1,5 @@
-//! One attempt over HTTP/2: sends the request on a stream of the shared connection, interprets the
-//! answer, and streams a long body to the client.
+//! One attempt over HTTP/2: interprets the answer to the request, and streams a long body to the
+//! client. `http2_request` sends the request.
 
 use crate::buffer::body_stream::BodySender;
 use crate::config::settings::Platform;
@@ -7,14 +7,12 @@
 use crate::protocol::resp::{MAX_COMPLETE_BODY_BYTES, MAX_STREAMED_BODY_BYTES};
 use crate::protocol::{attempt_outcome, endpoint_report, http2};
 use crate::request::{AttemptResult, AttemptStart, ResponseBody};
-use crate::upstream::pools::SharedConnection;
-use crate::upstream::running_attempt::{Abandon, AbandonHandle};
-use crate::upstream::{dial, Upstream, STREAM_STALL_TIMEOUT};
+use crate::upstream::running_attempt::AbandonHandle;
+use crate::upstream::{dial, http2_request, Upstream, STREAM_STALL_TIMEOUT};
 use bytes::Bytes;
-use h2::client::ResponseFuture;
 use h2::RecvStream;
 use http::header::CONTENT_LENGTH;
-use http::HeaderMap;
+use http::{HeaderMap, Response};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::task::spawn_local;
@@ -30,66 +28,26 @@
     let Some(shared) = dial::shared(upstream, attempt.endpoint, addr).await else {
         return AttemptResult::with_outcome(Outcome::ConnectFailed);
     };
-    let Some(response) = send(upstream, attempt, &shared, handle).await else {
-        return AttemptResult::with_outcome(Outcome::ConnectFailed);
+    let result = match http2_request::send(upstream, attempt, &shared, handle).await {
+        Ok(response) => read_answer(upstream, attempt, response).await,
+        Err(outcome) => AttemptResult::with_outcome(outcome),
     };
-    let result = read_answer(upstream, attempt, response).await;
     handle.take();
     let now_ms = upstream.dispatcher.now();
     shared.last_used_ms.set(now_ms);
-    if result.outcome != Outcome::Reset {
+    if !matches!(result.outcome, Outcome::Reset | Outcome::ConnectFailed) {
         shared.last_received_ms.set(now_ms);
     }
     result
 }
 
-/// Sends the request. Returns none if no stream was opened for the request, so that no endpoint can
-/// have run it.
-async fn send(
-    upstream: &Upstream,
-    attempt: &AttemptStart,
-    shared: &SharedConnection,
-    handle: &AbandonHandle,
-) -> Option<ResponseFuture> {
-    let dispatcher = &upstream.dispatcher;
-    let Ok(mut send) = shared.send.clone().ready().await else {
-        // The connection accepts no new streams, so the next attempt opens another connection.
-        shared.alive.set(false);
-        return None;
-    };
-    let now_ms = dispatcher.now();
-    if !upstream.accepts_requests_at(attempt.endpoint, shared.addr) {
-        return None;
-    }
-    shared.last_used_ms.set(now_ms);
-    let wait_ms = attempt.deadline_ms - now_ms;
-    let request = http2::upstream_request(dispatcher.platform(), &attempt.request, wait_ms).ok()?;
-    let body = attempt.request.body.as_ref();
-    let Ok((response, mut stream)) = send.send_request(request, body.is_none()) else {
-        shared.alive.set(false);
-        return None;
-    };
-    if let Some(body) = body {
-        // A failure to send the body shows in the response.
-        let _ = stream.send_data(Bytes::copy_from_slice(body), true);
-    }
-    handle.set(Abandon::Reset(stream));
-    Some(response)
-}
-
 async fn read_answer(
     upstream: &Upstream,
     attempt: &AttemptStart,
-    response: ResponseFuture,
+    response: Response<RecvStream>,
 ) -> AttemptResult {
     let platform = upstream.dispatcher.platform();
-    let (head, mut stream) = match response.await {
-        Ok(response) => response.into_parts(),
-        Err(e) => {
-            tracing::debug!(id = attempt.request.id, error = %e, "attempt without an answer");
-            return AttemptResult::with_outcome(attempt_outcome::of_http2_error(&e));
-        }
-    };
+    let (head, mut stream) = response.into_parts();
     let result = AttemptResult {
         load_report: load_report(platform, &head.headers),
         ..AttemptResult::with_outcome(attempt_outcome::of_http2_head(head.status, &head.headers))
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -8,10 +8,12 @@
 //! | `connection` | one RESP connection: reading and writing |
 //! | `dial` | obtains a connection for an attempt: pooled or new |
 //! | `resp_exchange`, `http2_exchange` | one attempt over each protocol |
+//! | `http2_request` | sending the request of an attempt over HTTP/2 |
 //! | `health_check` | one health check over each protocol |
 //! | `reply_error` | why a reply could not be used |
 //! | `reply_pace` | when a reply counts as stalled, and when a long value is streamed |
 //! | `running_attempt` | immediate abandoning of a running attempt |
+//! | `write_limit` | the time within which a request must be written completely |
 //!
 //! This module never repeats an attempt by itself, never leaves the connection or stream of an
 //! abandoned attempt open, and never reuses a connection that the endpoint has closed.
@@ -23,11 +25,13 @@
 mod dial;
 mod health_check;
 mod http2_exchange;
+mod http2_request;
 mod pools;
 mod reply_error;
 mod reply_pace;
 mod resp_exchange;
 mod running_attempt;
+mod write_limit;
 
 use crate::decision::driver::{EndpointId, RequestId};
 use crate::decision::Outcome;
--- a/src/upstream/resp_exchange.rs
+++ b/src/upstream/resp_exchange.rs
@@ -9,18 +9,23 @@
 use crate::protocol::resp::{push_request, streamed_reply_rest, Parsed, Reply, StreamedReply};
 use crate::protocol::{attempt_outcome, endpoint_report};
 use crate::request::{AttemptResult, AttemptStart, ResponseBody};
+use crate::units::MS_PER_S;
 use crate::upstream::connection::{Connection, Incoming};
 use crate::upstream::reply_pace::ReplyPace;
 use crate::upstream::running_attempt::{Abandon, AbandonHandle};
+use crate::upstream::write_limit::WriteLimit;
 use crate::upstream::{dial, Upstream, STREAM_STALL_TIMEOUT};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 /// Initial capacity for an encoded request, in bytes.
 const REQUEST_CAPACITY_BYTES: usize = 256;
+/// Shortest send timeout, ms: the system takes less than 1 ms as no timeout.
+const MIN_SEND_TIMEOUT_MS: f64 = 1.0;
 /// Positions of the items after the value of a reply.
 const USAGE_ITEM: usize = 0;
 const LOAD_REPORT_ITEM: usize = 1;
@@ -51,6 +56,9 @@
         )
         .await;
     handle.take();
+    if attempt.repeat_window_end_ms.is_some() {
+        connection.set_send_timeout(None);
+    }
     let dead = incoming.is_err() && !connection.has_unread_bytes();
     upstream.pools.record_use(connection.idle_class(), dead);
     match incoming {
@@ -68,17 +76,27 @@
     }
 }
 
-/// Writes the request. Returns false if it was not written completely, so that no endpoint can have
-/// run it. Writes nothing if the endpoint started to drain, or moved, while its connection was being
-/// established.
+/// Writes the request. Returns false if it was not written completely in time, so that no endpoint can
+/// have run it. Writes nothing if the endpoint started to drain, or moved, while its connection was
+/// being established.
 async fn send(upstream: &Upstream, attempt: &AttemptStart, connection: &Connection) -> bool {
     let dispatcher = &upstream.dispatcher;
-    let wait_ms = attempt.deadline_ms - dispatcher.now();
+    let limit = WriteLimit::start(dispatcher, attempt);
+    let now_ms = dispatcher.now();
+    let wait_ms = attempt.deadline_ms - now_ms;
     let mut bytes = Vec::with_capacity(REQUEST_CAPACITY_BYTES);
     push_request(&mut bytes, dispatcher.platform(), &attempt.request, wait_ms);
-    connection.queue(&bytes).is_ok()
-        && upstream.accepts_requests_at(attempt.endpoint, connection.addr())
-        && connection.write_queued().await
+    if connection.queue(&bytes).is_err()
+        || !upstream.accepts_requests_at(attempt.endpoint, connection.addr())
+    {
+        return false;
+    }
+    if let Some(window_end_ms) = attempt.repeat_window_end_ms {
+        let window_ms = (window_end_ms - now_ms).max(MIN_SEND_TIMEOUT_MS);
+        connection.set_send_timeout(Some(Duration::from_secs_f64(window_ms / MS_PER_S)));
+    }
+    let written = connection.write_queued(|| limit.allows_write());
+    timeout_at(limit.instant(), written).await.unwrap_or(false)
 }
 
 /// Interprets a reply; none if it is malformed.
--- a/src/upstream/running_attempt.rs
+++ b/src/upstream/running_attempt.rs
@@ -26,6 +26,17 @@
         *self.0.borrow_mut() = Some(abandon);
     }
 
+    /// Calls `act` with the attempt's stream; none if the attempt has no stream or was abandoned.
+    pub(super) fn with_stream<T>(
+        &self,
+        act: impl FnOnce(&mut SendStream<Bytes>) -> T,
+    ) -> Option<T> {
+        match self.0.borrow_mut().as_mut() {
+            Some(Abandon::Reset(stream)) => Some(act(stream)),
+            _ => None,
+        }
+    }
+
     /// Empties the handle and returns its content. Called when the attempt has ended or is being
     /// abandoned.
     pub(super) fn take(&self) -> Option<Abandon> {
--- a/tests/stage/endpoints.rs
+++ b/tests/stage/endpoints.rs
@@ -143,6 +143,22 @@
     }
 }
 
+impl Shared {
+    /// Reads more bytes into the buffer once the endpoints do not hang. Returns false at the end of the
+    /// connection or on an error.
+    async fn read_unless_hung(&self, stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+        let mut hung = self.hung.subscribe();
+        loop {
+            let _ = hung.wait_for(|hung| !hung).await;
+            tokio::select! {
+                biased;
+                _ = hung.changed() => {}
+                read = read_some(stream, buffer) => return read,
+            }
+        }
+    }
+}
+
 /// Serves one RESP connection of an endpoint.
 pub(super) async fn resp_endpoint(name: String, mut stream: TcpStream, shared: Shared) {
     // Without this, a duplicate would wait for the acknowledgement of the first answer.
@@ -158,7 +174,7 @@
                     n,
                 );
             }
-            if !read_some(&mut stream, &mut buffer).await {
+            if !shared.read_unless_hung(&mut stream, &mut buffer).await {
                 return;
             }
         };
@@ -248,14 +264,22 @@
         return reject_by_goaway(stream).await;
     }
     let socket = socket2::SockRef::from(&stream).try_clone().unwrap();
-    let Ok(mut connection) = h2::server::handshake(stream).await else {
+    let mut hung = shared.hung.subscribe();
+    let _ = hung.wait_for(|hung| !hung).await;
+    let mut builder = h2::server::Builder::new();
+    if let Some(max_streams) = shared.max_streams.get() {
+        builder.max_concurrent_streams(max_streams);
+    }
+    let Ok(mut connection) = builder.handshake(stream).await else {
         return;
     };
     let goaway = Rc::new(tokio::sync::Notify::new());
     let tcp_reset = Rc::new(tokio::sync::Notify::new());
     loop {
+        let is_hung = *hung.borrow_and_update();
         let next = tokio::select! {
-            next = connection.accept() => next,
+            _ = hung.changed() => continue,
+            next = connection.accept(), if !is_hung => next,
             () = tcp_reset.notified() => return socket.set_linger(Some(Duration::ZERO)).unwrap(),
             () = goaway.notified() => { connection.abrupt_shutdown(h2::Reason::NO_ERROR); continue }
         };
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -4,7 +4,10 @@
 //!
 //! Settings, on the first line only:
 //!
-//!     with PATH=VALUE ...            changes settings: `request_classes.1.effect="token"`
+//!     with PATH=VALUE ...            changes settings: `request_classes.1.effect="token"`, or
+//!                                    properties of the endpoints: `endpoints.streams=N` (streams of
+//!                                    one connection, HTTP/2), `endpoints.small_buffers=true` (their
+//!                                    systems hold little of a request that they have not read)
 //!     small_memory                   the program's memory limit is 10 MB
 //!     more_descriptors               the program's descriptor limit is 1024
 //!     inherited_socket               the environment binds the clients' socket; processes inherit
@@ -63,6 +66,7 @@
 //!     list_at I J                    discovery lists the endpoint I at the address of J
 //!     pool I LABEL                   discovery lists the endpoint with the label pool=LABEL
 //!     inventory NAME[=STATE] ...     the inventory file lists these endpoints; reloads it (SIGHUP)
+//!     hang / resume                  endpoints read nothing from now on / read on
 //!     reject_by_goaway               endpoints send GOAWAY with last stream id 0 (HTTP/2)
 //!     add_unreachable NAME           discovery lists a new endpoint that accepts no connection
 //!     make_reachable NAME            the same endpoint accepts connections from now on
@@ -198,7 +202,8 @@
 const RAISED_DESCRIPTOR_LIMIT: usize = 1024;
 /// Load report with which an endpoint answers a health check.
 const LOAD_REPORT: &str = "lat_ms=40,rif=1,busy=0.5";
-/// Receive buffer, bytes, and largest segment of a client after `small_receive_buffer`.
+/// Receive buffer, bytes, and largest segment of a client after `small_receive_buffer`, and of endpoints
+/// with small buffers.
 const SMALL_RECEIVE_BUFFER: usize = 8 * 1024;
 const SMALL_SEGMENT_SIZE: u32 = 1400;
 
@@ -222,6 +227,10 @@
     discovery: Rc<RefCell<String>>,
     /// Whether HTTP/2 endpoints reject connections by GOAWAY with last stream id 0.
     reject_by_goaway: Rc<RefCell<bool>>,
+    /// Whether endpoints read nothing.
+    hung: Rc<watch::Sender<bool>>,
+    /// Limit on the streams of one connection to an HTTP/2 endpoint, if there is one.
+    max_streams: Rc<Cell<Option<u32>>>,
     /// Number of duplicates that `late_duplicate` has written.
     duplicates_written: Rc<Cell<usize>>,
 }
@@ -246,12 +255,31 @@
     }
 }
 
+/// Returns a listener at a free port whose connections have small receive buffers and segments.
+fn listener_with_small_buffers() -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+    socket.set_tcp_mss(SMALL_SEGMENT_SIZE).unwrap();
+    let address: std::net::SocketAddr = "127.0.0.1:0".parse().unwrap();
+    socket.bind(&address.into()).unwrap();
+    socket.listen(1024).unwrap();
+    socket.set_nonblocking(true).unwrap();
+    TcpListener::from_std(socket.into()).unwrap()
+}
+
 /// Starts a server that handles each connection by `serve`. Returns its port, and the task that
 /// owns the listener and all connections.
 async fn spawn_server<F: Future<Output = ()> + 'static>(
     serve: impl Fn(TcpStream) -> F + 'static,
 ) -> (u16, AbortHandle) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    spawn_server_at(TcpListener::bind("127.0.0.1:0").await.unwrap(), serve)
+}
+
+/// Starts a server on this listener.
+fn spawn_server_at<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    serve: impl Fn(TcpStream) -> F + 'static,
+) -> (u16, AbortHandle) {
     let port = listener.local_addr().unwrap().port();
     let task = spawn_local(async move {
         let mut connections = tokio::task::JoinSet::new();
--- a/tests/stage/setup.rs
+++ b/tests/stage/setup.rs
@@ -38,25 +38,57 @@
     )
 }
 
+/// Separates the properties of the endpoints, such as `endpoints.streams=1`, from the changes of the
+/// settings on the first line of a scenario.
+fn endpoint_properties(first: &str) -> (HashMap<String, String>, String) {
+    let (properties, changes): (Vec<&str>, Vec<&str>) = first
+        .split_whitespace()
+        .partition(|change| change.starts_with("endpoints."));
+    let properties = properties.iter().filter_map(|change| {
+        let (name, value) = change.strip_prefix("endpoints.")?.split_once('=')?;
+        Some((name.to_string(), value.to_string()))
+    });
+    (properties.collect(), changes.join(" "))
+}
+
+/// Starts the endpoints with these properties. Returns the port and protocol of each.
+async fn start_endpoints(
+    endpoint_wire: Wire,
+    properties: &HashMap<String, String>,
+    shared: &Shared,
+) -> HashMap<String, (u16, Wire)> {
+    let max_streams = properties.get("streams").map(|n| n.parse().unwrap());
+    shared.max_streams.set(max_streams);
+    let mut endpoints = HashMap::new();
+    for name in ["a", "b", "extra"] {
+        let shared = shared.clone();
+        let listener = if properties.contains_key("small_buffers") {
+            listener_with_small_buffers()
+        } else {
+            TcpListener::bind("127.0.0.1:0").await.unwrap()
+        };
+        let port = match endpoint_wire {
+            Wire::Resp => spawn_server_at(listener, move |s| {
+                resp_endpoint(name.into(), s, shared.clone())
+            }),
+            Wire::Http2 => spawn_server_at(listener, move |s| {
+                http2_endpoint(name.into(), s, shared.clone())
+            }),
+        };
+        endpoints.insert(name.to_string(), (port.0, endpoint_wire));
+    }
+    endpoints
+}
+
 impl Stage {
     /// Sets up the environment and starts the program. `first` is the first line of the scenario.
     pub async fn set_up(client_wire: Wire, endpoint_wire: Wire, first: &str) -> Stage {
         let (inherited_socket, small_memory) =
             (first == "inherited_socket", first == "small_memory");
+        let (properties, first) = endpoint_properties(first);
+        let first = first.as_str();
         let shared = Shared::default();
-        let mut endpoints = HashMap::new();
-        for name in ["a", "b", "extra"] {
-            let shared = shared.clone();
-            let port = match endpoint_wire {
-                Wire::Resp => {
-                    spawn_server(move |s| resp_endpoint(name.into(), s, shared.clone())).await
-                }
-                Wire::Http2 => {
-                    spawn_server(move |s| http2_endpoint(name.into(), s, shared.clone())).await
-                }
-            };
-            endpoints.insert(name.to_string(), (port.0, endpoint_wire));
-        }
+        let endpoints = start_endpoints(endpoint_wire, &properties, &shared).await;
         let listed = endpoints.iter().filter(|(name, _)| *name != "extra");
         let entries: Vec<_> = listed
             .map(|(n, (p, w))| endpoint_entry(n, *p, *w, "active"))
--- a/tests/stage/steps.rs
+++ b/tests/stage/steps.rs
@@ -360,6 +360,8 @@
                     .send_modify(|changes| changes.push(entry.replace(r#""state""#, &labels)));
                 tokio::time::sleep(Duration::from_millis(60)).await;
             }
+            ["hang"] => drop(self.shared.hung.send_replace(true)),
+            ["resume"] => drop(self.shared.hung.send_replace(false)),
             ["reject_by_goaway"] => *self.shared.reject_by_goaway.borrow_mut() = true,
             _ => return false,
         }
