A request that waits for an HTTP/2 stream is not sent after its time

Cause: a stream above the endpoint's limit was queued in `h2`, which sends its head when a place is free, even after the stream was reset. Deadline, window and drain had been checked before the wait. Shown by two new tests at a limit of one stream: a fetch was sent 0.2 s after its deadline had passed and its client had its answer; a booking was sent to an endpoint 2.3 s after its drain began.

An attempt without a place ends like one without a connection, so its request may go to another endpoint.

--- a/src/upstream/dial.rs
+++ b/src/upstream/dial.rs
@@ -4,7 +4,8 @@
 use crate::protocol::http2::FairStream;
 use crate::units::MS_PER_S;
 use crate::upstream::connection::Connection;
-use crate::upstream::pools::{ConnectionSlot, SharedConnection, REUSE_DELAY_MS};
+use crate::upstream::pools::{ConnectionSlot, REUSE_DELAY_MS};
+use crate::upstream::shared_connection::SharedConnection;
 use crate::upstream::Upstream;
 use bytes::Bytes;
 use h2::client::{Builder, Connection as Http2Driver, SendRequest};
@@ -62,7 +63,7 @@
     upstream: &Upstream,
     endpoint: EndpointId,
     addr: SocketAddr,
-) -> Option<SharedConnection> {
+) -> Option<Rc<SharedConnection>> {
     if let Some(shared) = upstream.pools.shared(endpoint, addr) {
         return Some(shared);
     }
@@ -76,14 +77,7 @@
             .connect_failed(upstream.dispatcher.now(), endpoint);
         return None;
     };
-    let now_ms = upstream.dispatcher.now();
-    let shared = SharedConnection {
-        send,
-        addr,
-        last_received_ms: Rc::new(Cell::new(now_ms)),
-        last_used_ms: Rc::new(Cell::new(now_ms)),
-        alive: Rc::new(Cell::new(true)),
-    };
+    let shared = SharedConnection::new(send, addr, upstream.dispatcher.now());
     spawn_local(run_connection(driver, shared.alive.clone(), slot));
     upstream.pools.share(endpoint, &shared);
     Some(shared)
--- a/src/upstream/health_check.rs
+++ b/src/upstream/health_check.rs
@@ -75,6 +75,7 @@
     let Some(shared) = dial::shared(upstream, endpoint, addr).await else {
         return without_report(Outcome::ConnectFailed);
     };
+    let _slot = shared.stream_slot().await;
     let Ok(mut send) = shared.send.clone().ready().await else {
         return without_report(Outcome::ConnectFailed);
     };
--- a/src/upstream/http2_exchange.rs
+++ b/src/upstream/http2_exchange.rs
@@ -7,12 +7,14 @@
 use crate::protocol::resp::{MAX_COMPLETE_BODY_BYTES, MAX_STREAMED_BODY_BYTES};
 use crate::protocol::{attempt_outcome, endpoint_report, http2};
 use crate::request::{AttemptResult, AttemptStart, ResponseBody};
+use crate::upstream::http2_request::Answer;
 use crate::upstream::running_attempt::AbandonHandle;
+use crate::upstream::shared_connection::StreamSlot;
 use crate::upstream::{dial, http2_request, Upstream, STREAM_STALL_TIMEOUT};
 use bytes::Bytes;
 use h2::RecvStream;
 use http::header::CONTENT_LENGTH;
-use http::{HeaderMap, Response};
+use http::HeaderMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::task::spawn_local;
@@ -29,7 +31,7 @@
         return AttemptResult::with_outcome(Outcome::ConnectFailed);
     };
     let result = match http2_request::send(upstream, attempt, &shared, handle).await {
-        Ok(response) => read_answer(upstream, attempt, response).await,
+        Ok(answer) => read_answer(upstream, attempt, answer).await,
         Err(outcome) => AttemptResult::with_outcome(outcome),
     };
     handle.take();
@@ -41,13 +43,9 @@
     result
 }
 
-async fn read_answer(
-    upstream: &Upstream,
-    attempt: &AttemptStart,
-    response: Response<RecvStream>,
-) -> AttemptResult {
+async fn read_answer(upstream: &Upstream, attempt: &AttemptStart, answer: Answer) -> AttemptResult {
     let platform = upstream.dispatcher.platform();
-    let (head, mut stream) = response.into_parts();
+    let (head, mut stream) = answer.response.into_parts();
     let result = AttemptResult {
         load_report: load_report(platform, &head.headers),
         ..AttemptResult::with_outcome(attempt_outcome::of_http2_head(head.status, &head.headers))
@@ -56,7 +54,7 @@
         return result;
     }
     let body = match streamed_length(&head.headers) {
-        Some(size) => start_streaming(upstream, attempt, stream, size).await,
+        Some(size) => start_streaming(upstream, attempt, stream, answer.slot, size).await,
         None => http2::collect(&mut stream, upstream.stall_timeout(), || {
             upstream.report_stall(attempt)
         })
@@ -105,13 +103,17 @@
     upstream: &Upstream,
     attempt: &AttemptStart,
     mut stream: RecvStream,
+    slot: StreamSlot,
     size: usize,
 ) -> Option<ResponseBody> {
     let on_stall = || upstream.report_stall(attempt);
     let first = http2::next_chunk(&mut stream, upstream.stall_timeout(), on_stall).await;
     let first = first?.ok()?;
     let (sender, receiver) = upstream.dispatcher.body_streams().open(size);
-    spawn_local(stream_body(stream, first, sender));
+    spawn_local(async move {
+        stream_body(stream, first, sender).await;
+        drop(slot);
+    });
     Some(ResponseBody::Streaming(Rc::new(receiver)))
 }
 
--- a/src/upstream/http2_request.rs
+++ b/src/upstream/http2_request.rs
@@ -6,9 +6,9 @@
 
 use crate::decision::Outcome;
 use crate::protocol::{attempt_outcome, http2};
-use crate::request::AttemptStart;
-use crate::upstream::pools::SharedConnection;
+use crate::request::{AttemptStart, MAX_WRITE_MS};
 use crate::upstream::running_attempt::{Abandon, AbandonHandle};
+use crate::upstream::shared_connection::{SharedConnection, StreamSlot};
 use crate::upstream::write_limit::WriteLimit;
 use crate::upstream::Upstream;
 use bytes::Bytes;
@@ -16,15 +16,40 @@
 use h2::{RecvStream, SendStream};
 use http::Response;
 use std::future::poll_fn;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::time::timeout_at;
 
-/// Sends the request and waits for the head of its answer.
+/// The head of an answer, and the place of its stream, to be kept until the stream has ended.
+pub(super) struct Answer {
+    pub(super) response: Response<RecvStream>,
+    pub(super) slot: StreamSlot,
+}
+
+/// Waits for a place among the connection's streams, sends the request, and waits for the head of its
+/// answer.
 ///
 /// # Errors
 /// The outcome of an attempt without an answer. It is [`Outcome::ConnectFailed`] if the request was not
 /// sent completely, so that no endpoint can have run it.
 pub(super) async fn send(
+    upstream: &Upstream,
+    attempt: &AttemptStart,
+    shared: &Rc<SharedConnection>,
+    handle: &AbandonHandle,
+) -> Result<Answer, Outcome> {
+    let clock = upstream.dispatcher.clock();
+    let begun_by = clock.instant(attempt.written_by_ms - MAX_WRITE_MS);
+    let Ok(slot) = timeout_at(begun_by.into(), shared.stream_slot()).await else {
+        tracing::debug!(id = attempt.request.id, "no free stream on the connection");
+        return Err(Outcome::ConnectFailed);
+    };
+    let response = exchange(upstream, attempt, shared, handle).await?;
+    Ok(Answer { response, slot })
+}
+
+/// Sends the request and waits for the head of its answer.
+async fn exchange(
     upstream: &Upstream,
     attempt: &AttemptStart,
     shared: &SharedConnection,
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -13,6 +13,7 @@
 //! | `reply_error` | why a reply could not be used |
 //! | `reply_pace` | when a reply counts as stalled, and when a long value is streamed |
 //! | `running_attempt` | immediate abandoning of a running attempt |
+//! | `shared_connection` | an HTTP/2 connection and the places of its streams |
 //! | `write_limit` | the time within which a request must be written completely |
 //!
 //! This module never repeats an attempt by itself, never leaves the connection or stream of an
@@ -31,6 +32,7 @@
 mod reply_pace;
 mod resp_exchange;
 mod running_attempt;
+mod shared_connection;
 mod write_limit;
 
 use crate::decision::driver::{EndpointId, RequestId};
--- a/src/upstream/pools.rs
+++ b/src/upstream/pools.rs
@@ -5,8 +5,7 @@
 use crate::upstream::connection::Connection;
 use crate::upstream::connection_limit::ConnectionLimit;
 use crate::upstream::dead_connections::{idle_class, DeadConnections, IdleClass};
-use bytes::Bytes;
-use h2::client::SendRequest;
+use crate::upstream::shared_connection::SharedConnection;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -51,30 +50,11 @@
     since_ms: f64,
 }
 
-/// An HTTP/2 connection, which carries many attempts at the same time.
-#[derive(Clone)]
-pub(super) struct SharedConnection {
-    pub(super) send: SendRequest<Bytes>,
-    pub(super) addr: SocketAddr,
-    /// Time of the endpoint's last answer on this connection, ms.
-    pub(super) last_received_ms: Rc<Cell<f64>>,
-    /// Time when an attempt last used this connection, ms.
-    pub(super) last_used_ms: Rc<Cell<f64>>,
-    /// Whether the connection accepts further streams.
-    pub(super) alive: Rc<Cell<bool>>,
-}
-
-impl SharedConnection {
-    fn is_usable(&self, addr: SocketAddr) -> bool {
-        self.alive.get() && self.addr == addr
-    }
-}
-
 #[derive(Default)]
 struct EndpointPool {
     /// Idle connections, oldest first.
     idle: Vec<IdleConnection>,
-    shared: Option<SharedConnection>,
+    shared: Option<Rc<SharedConnection>>,
     open: Rc<Cell<usize>>,
     limit: Option<ConnectionLimit>,
 }
@@ -212,7 +192,7 @@
         &self,
         endpoint: EndpointId,
         addr: SocketAddr,
-    ) -> Option<SharedConnection> {
+    ) -> Option<Rc<SharedConnection>> {
         self.by_endpoint
             .borrow()
             .get(&endpoint)
@@ -222,7 +202,7 @@
 
     /// Makes a new connection the shared one, unless another usable one was established in the
     /// meantime.
-    pub(super) fn share(&self, endpoint: EndpointId, connection: &SharedConnection) {
+    pub(super) fn share(&self, endpoint: EndpointId, connection: &Rc<SharedConnection>) {
         if let Some(pool) = self.by_endpoint.borrow_mut().get_mut(&endpoint) {
             pool.shared
                 .take_if(|shared| !shared.is_usable(connection.addr));
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -30,3 +30,49 @@
 fn rest_of_a_keyed_http2_request_is_not_sent_after_its_window() {
     play(Wire::Resp, Wire::Http2, HUNG_PAST_THE_WINDOW);
 }
+
+/// A request waits for a free place among the streams of an endpoint's connection. It must not be sent
+/// once its deadline has passed: the client has been answered.
+#[test]
+fn request_that_waits_for_a_stream_is_not_sent_after_its_deadline() {
+    play(
+        Wire::Resp,
+        Wire::Http2,
+        "with endpoints.streams=1
+         state b left
+         wait 150
+         send c k1 book-rebroadcast city 7 d=3000
+         expect a k1
+         send d k2 fetch-episode city 8 d=400
+         wait 600
+         answer a k1 value booked
+         expect c k1 served booked
+         wait 200
+         runs k2 0",
+    );
+}
+
+/// The endpoint drains while a request waits for a free place among the streams of its connection. After
+/// the time that a draining endpoint allows, the request must not be sent to it any more.
+#[test]
+fn request_that_waits_for_a_stream_is_not_sent_to_a_draining_endpoint() {
+    play(
+        Wire::Resp,
+        Wire::Http2,
+        "with endpoints.streams=1
+         state b left
+         wait 150
+         send c k1 book-rebroadcast city 7 d=3000
+         expect a k1
+         send d k2 book-rebroadcast city 8 d=3000
+         wait 50
+         state a leaving
+         state b active
+         wait 2300
+         answer a k1 value booked
+         expect c k1 served booked
+         answer b k2 value booked
+         expect d k2 served booked
+         runs k2 1",
+    );
+}
