Unsent bytes of an abandoned request are discarded

Cause: an abandoned attempt ended its connection in order, so the system went on to deliver what its send buffer held.

Change: the connection of an abandoned RESP attempt is reset, which discards its send buffer. An HTTP/2 connection whose endpoint has not answered since the attempt began leaves the pool as before; it is now reset as soon as no attempt uses it. A connection on which no answer ever came counts as silent too: until now, the attempt that opened it could not find it silent.

Not covered: a request in the send buffer of an HTTP/2 connection that other attempts still use.

--- a/src/buffer/socket_io.rs
+++ b/src/buffer/socket_io.rs
@@ -10,6 +10,7 @@
 //! the functions here use up that share.
 
 use std::io::{ErrorKind, Result};
+use std::time::Duration;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::TcpStream;
 use tokio::task::coop::consume_budget;
@@ -27,6 +28,13 @@
     }
 }
 
+/// Makes the close of this socket discard the bytes that the system has not sent. Otherwise it goes on
+/// to deliver them, for minutes if the peer reads nothing.
+pub fn discard_unsent(stream: &TcpStream) {
+    // Fails only if the socket is closed.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 /// Waits until bytes can be read, and lets other tasks run if this one has used its share of the thread.
 ///
 /// # Errors
--- a/src/protocol/http2/fair_stream.rs
+++ b/src/protocol/http2/fair_stream.rs
@@ -4,10 +4,12 @@
 //! `h2` parses frames until its socket has no more bytes. Most frames are small and answered without
 //! the frontend, so a peer that sends them without a pause would hold the thread for long.
 
-use crate::buffer::socket_io::uninterrupted;
+use crate::buffer::socket_io::{discard_unsent, uninterrupted};
+use std::cell::Cell;
 use std::future::Future;
 use std::io::{self, ErrorKind};
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -25,6 +27,7 @@
     read_in_turn: usize,
     /// Receives once other tasks have run.
     end_of_turn: Option<oneshot::Receiver<()>>,
+    discards_unsent: Rc<Cell<bool>>,
 }
 
 impl FairStream {
@@ -34,6 +37,21 @@
             stream,
             read_in_turn: 0,
             end_of_turn: None,
+            discards_unsent: Rc::default(),
+        }
+    }
+
+    /// A switch that `h2`'s owner keeps: once it is set, the end of the stream discards the bytes that
+    /// the system has not sent.
+    pub fn discard_switch(&self) -> Rc<Cell<bool>> {
+        self.discards_unsent.clone()
+    }
+}
+
+impl Drop for FairStream {
+    fn drop(&mut self) {
+        if self.discards_unsent.get() {
+            discard_unsent(&self.stream);
         }
     }
 }
--- a/src/upstream/dial.rs
+++ b/src/upstream/dial.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -71,41 +72,58 @@
         .pools
         .take_slot(upstream.dispatcher.now(), endpoint)?;
     let dialled = timeout(upstream.connect_timeout, dial_http2(addr)).await;
-    let Ok(Some((send, driver))) = dialled else {
+    let Ok(Some(dialled)) = dialled else {
         upstream
             .pools
             .connect_failed(upstream.dispatcher.now(), endpoint);
         return None;
     };
-    let shared = SharedConnection::new(send, addr, upstream.dispatcher.now());
-    spawn_local(run_connection(driver, shared.alive.clone(), slot));
+    let now_ms = upstream.dispatcher.now();
+    let shared = SharedConnection::new(dialled.send, addr, dialled.discard_unsent, now_ms);
+    let (alive, end) = (shared.alive.clone(), shared.end());
+    spawn_local(run_connection(dialled.driver, alive, end, slot));
     upstream.pools.share(endpoint, &shared);
     Some(shared)
 }
 
-async fn dial_http2(
-    addr: SocketAddr,
-) -> Option<(SendRequest<Bytes>, Http2Driver<FairStream, Bytes>)> {
+/// A new HTTP/2 connection.
+struct Dialled {
+    send: SendRequest<Bytes>,
+    driver: Http2Driver<FairStream, Bytes>,
+    discard_unsent: Rc<Cell<bool>>,
+}
+
+async fn dial_http2(addr: SocketAddr) -> Option<Dialled> {
     let stream = TcpStream::connect(addr).await.ok()?;
     let _ = stream.set_nodelay(true);
+    let stream = FairStream::new(stream);
+    let discard_unsent = stream.discard_switch();
     let mut builder = Builder::new();
     builder
         .enable_push(false)
         .initial_connection_window_size(SHARED_WINDOW_BYTES);
-    builder
-        .handshake::<_, Bytes>(FairStream::new(stream))
-        .await
-        .ok()
+    let (send, driver) = builder.handshake::<_, Bytes>(stream).await.ok()?;
+    Some(Dialled {
+        send,
+        driver,
+        discard_unsent,
+    })
 }
 
-/// Runs the I/O of a shared connection until it ends.
+/// Runs the I/O of a shared connection until it ends or is ended.
 async fn run_connection(
     driver: Http2Driver<FairStream, Bytes>,
     alive: Rc<Cell<bool>>,
+    end: Rc<Notify>,
     _slot: ConnectionSlot,
 ) {
-    if let Err(e) = driver.await {
-        tracing::debug!(error = %e, "HTTP/2 connection to an endpoint failed");
+    tokio::select! {
+        result = driver => {
+            if let Err(e) = result {
+                tracing::debug!(error = %e, "HTTP/2 connection to an endpoint failed");
+            }
+        }
+        () = end.notified() => {}
     }
     alive.set(false);
 }
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -35,6 +35,7 @@
 mod shared_connection;
 mod write_limit;
 
+use crate::buffer::socket_io::discard_unsent;
 use crate::decision::driver::{EndpointId, RequestId};
 use crate::decision::Outcome;
 use crate::discovery::registry::EndpointProtocol;
@@ -124,13 +125,16 @@
     }
 
     /// Abandons an attempt. Ends its connection or stream immediately, without waiting for the
-    /// attempt's task to be polled: a later attempt of the same request must not overlap with it.
+    /// attempt's task to be polled: a later attempt of the same request must not overlap with it. What
+    /// the system has not sent of the request is discarded, except on an HTTP/2 connection that other
+    /// attempts use.
     pub fn abandon_attempt(&self, id: RequestId, number: u32) {
         let Some(running) = self.running.borrow_mut().remove(&(id, number)) else {
             return;
         };
         match running.handle.take() {
             Some(Abandon::Close(connection)) => {
+                discard_unsent(connection.stream());
                 let socket = socket2::SockRef::from(connection.stream());
                 let _ = socket.shutdown(Shutdown::Both);
             }
--- a/src/upstream/pools.rs
+++ b/src/upstream/pools.rs
@@ -214,9 +214,13 @@
     /// connection to a machine that is cut off from the network stays open, and every attempt on it
     /// would time out.
     pub(super) fn drop_silent_shared(&self, endpoint: EndpointId, since_ms: f64) {
-        if let Some(pool) = self.by_endpoint.borrow_mut().get_mut(&endpoint) {
+        let mut pools = self.by_endpoint.borrow_mut();
+        let silent = pools.get_mut(&endpoint).and_then(|pool| {
             pool.shared
-                .take_if(|shared| shared.last_received_ms.get() < since_ms);
+                .take_if(|shared| shared.last_received_ms.get() < since_ms)
+        });
+        if let Some(shared) = silent {
+            shared.mark_silent();
         }
     }
 }
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -18,6 +18,17 @@
      expect c k1 failed
      runs k1 1"#;
 
+/// An endpoint hangs before it gets a booking that its system does not take whole, and reads on after the
+/// booking's deadline.
+const HUNG_PAST_THE_DEADLINE: &str = r#"with endpoints.small_buffers=true
+     hang
+     send c k1 book-rebroadcast city 7 d=400 body=24000
+     expect c k1 failed
+     wait 200
+     resume
+     wait 300
+     runs k1 0"#;
+
 /// The rest of a body waits for room in the endpoint's buffers. It must not be written after the window:
 /// the booking would run twice.
 #[test]
@@ -31,6 +42,19 @@
     play(Wire::Resp, Wire::Http2, HUNG_PAST_THE_WINDOW);
 }
 
+/// The system still holds bytes of a request when the attempt is abandoned. It must not deliver them
+/// later: the endpoint would get a whole request, long after its deadline.
+#[test]
+fn unsent_bytes_of_an_abandoned_request_are_discarded() {
+    play(Wire::Resp, Wire::Resp, HUNG_PAST_THE_DEADLINE);
+}
+
+/// The same for the only request of an HTTP/2 connection.
+#[test]
+fn unsent_bytes_of_an_abandoned_http2_request_are_discarded() {
+    play(Wire::Resp, Wire::Http2, HUNG_PAST_THE_DEADLINE);
+}
+
 /// A request waits for a free place among the streams of an endpoint's connection. It must not be sent
 /// once its deadline has passed: the client has been answered.
 #[test]
