A file that names a pipe no longer holds the thread at a reload

With the inventory or the configuration replaced by a pipe, one SIGHUP kept all clients without an answer for good (trial: PING unanswered, both files); rules in a pipe were never reloaded again; `driftgap check` did not end.

Cause: files were opened without a look at what they are, the inventory and the configuration on the thread that serves all requests.

Change: `config::regular_file` checks the path first, at a reload, for the inventory always, and for the plug-in's script, which had a check of its own. At the start a configuration or rules may still come through a pipe.

Evidence: the new test failed on the code before (time-out at the reload of the inventory) and passes now, over every pair of protocols.

--- a/src/discovery/inventory/files.rs
+++ b/src/discovery/inventory/files.rs
@@ -3,6 +3,7 @@
 //! are too long.
 
 use super::error::InventoryError;
+use crate::config::regular_file::require_regular;
 use driftgap_inventory::{Fault, File, Location, Severity, MAX_FILE};
 use std::path::Path;
 use std::time::SystemTime;
@@ -65,6 +66,7 @@
 /// Reads one file. Its length and modification time must be the same before and after; otherwise a
 /// tool may be writing it, and its end may be missing.
 fn read_file(path: &Path, name: String) -> Result<File, InventoryError> {
+    require_regular(path)?;
     let before = FileState::of(path)?;
     // Bounds memory: a file that is too long is rejected by its length before it is read.
     if before.length > MAX_FILE as u64 {
--- a/src/plugin/script_file.rs
+++ b/src/plugin/script_file.rs
@@ -1,5 +1,6 @@
 //! Reads the file of a script.
 
+use crate::config::regular_file::require_regular;
 use std::fs::File;
 use std::io::Read;
 use std::path::Path;
@@ -10,12 +11,9 @@
 /// Why the file of a script cannot be read.
 #[derive(Debug, thiserror::Error)]
 pub enum ScriptFileError {
-    /// The operating system's error.
+    /// The file cannot be read, or is not a regular file.
     #[error("{0}")]
     Io(#[from] std::io::Error),
-    /// Reading from a pipe or a device might wait without end.
-    #[error("it is not a regular file")]
-    NotRegular,
     /// The script is longer than allowed.
     #[error("it is longer than {MAX_SCRIPT_BYTES} bytes")]
     TooLong,
@@ -26,10 +24,7 @@
 /// # Errors
 /// The file cannot be read, is not a regular file, or is too long.
 pub(super) fn read_script(path: &Path) -> Result<String, ScriptFileError> {
-    // Checked before opening: opening a pipe waits for its writer.
-    if !std::fs::metadata(path)?.is_file() {
-        return Err(ScriptFileError::NotRegular);
-    }
+    require_regular(path)?;
     let mut text = String::new();
     let read_bytes = File::open(path)?
         .take(MAX_SCRIPT_BYTES + 1)
--- a/src/routing/reload.rs
+++ b/src/routing/reload.rs
@@ -167,7 +167,7 @@
     catalog: &Catalog,
     in_force: Option<&Rules>,
 ) -> Result<(Rules, String), Vec<Fault>> {
-    let text = source.text()?;
+    let text = source.text_of_regular_file()?;
     let rules = source.compile(&text, catalog, in_force)?;
     Ok((rules, text))
 }
--- a/src/routing/source.rs
+++ b/src/routing/source.rs
@@ -2,6 +2,7 @@
 
 use super::catalog;
 use crate::config::operator_file::OperatorFile;
+use crate::config::regular_file::require_regular;
 use crate::config::settings::Platform;
 use driftgap_routes::{Catalog, Fault, ReadOptions, Rules};
 use std::path::PathBuf;
@@ -64,13 +65,25 @@
     /// # Errors
     /// The file cannot be read.
     pub fn text(&self) -> Result<String, Vec<Fault>> {
-        std::fs::read_to_string(&self.path).map_err(|e| {
-            let line = format!("{}: {e}", self.path.display());
-            vec![Fault {
-                shown: line.clone(),
-                line,
-            }]
-        })
+        std::fs::read_to_string(&self.path).map_err(|e| self.unreadable(&e))
+    }
+
+    /// Reads the file's text, which must be in a regular file: a reload that waits for the writer of a
+    /// pipe would be the last one.
+    ///
+    /// # Errors
+    /// The file cannot be read, or is not a regular file.
+    pub fn text_of_regular_file(&self) -> Result<String, Vec<Fault>> {
+        require_regular(&self.path).map_err(|e| self.unreadable(&e))?;
+        self.text()
+    }
+
+    fn unreadable(&self, error: &std::io::Error) -> Vec<Fault> {
+        let line = format!("{}: {error}", self.path.display());
+        vec![Fault {
+            shown: line.clone(),
+            line,
+        }]
     }
 
     /// Compiles rules from their text. Rules of `previous` that have not changed are reused.
--- a/src/runtime/server/reload.rs
+++ b/src/runtime/server/reload.rs
@@ -15,7 +15,8 @@
 
 use super::ingress::Ingress;
 use super::{inventory, rules};
-use crate::config::settings::Config;
+use crate::config::regular_file::require_regular;
+use crate::config::settings::{Config, ConfigError};
 use crate::discovery::inventory::Inventory;
 use crate::group::Group;
 use crate::routing::reload::{Reading, ReloadError, RuleReload};
@@ -27,6 +28,15 @@
 use tokio::signal::unix::Signal;
 use tokio::task::{spawn_local, AbortHandle};
 
+/// Reads the configuration file on the serving thread. At the start it may also be a pipe.
+fn read_config(path: &Path) -> Result<Config, ConfigError> {
+    require_regular(path).map_err(|e| ConfigError::Read {
+        path: path.display().to_string(),
+        problem: e.to_string(),
+    })?;
+    Config::read(path)
+}
+
 /// The files to read again at a reload, and the versions to compare them with.
 pub(super) struct Reload {
     ingress: Rc<Ingress>,
@@ -95,7 +105,7 @@
     }
 
     fn reload_config(&mut self, path: &Path) {
-        let mut config = match Config::read(path) {
+        let mut config = match read_config(path) {
             Ok(config) => config,
             Err(e) => {
                 tracing::error!(error = %e, "EDGE_CONFIG is invalid; the old configuration stays in force");
--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -334,3 +334,17 @@
         ),
     );
 }
+
+/// A file that is read on SIGHUP names a pipe, which nobody writes to. The ingress must not wait for it:
+/// nothing else is answered meanwhile.
+#[test]
+fn reload_of_a_pipe_keeps_no_request_waiting() {
+    for file in ["inventory.csv", "config.json", "rules.toml"] {
+        play_all(&format!(
+            "always echo
+             pipe {file}
+             send c k1 book-rebroadcast city 7
+             expect c k1 served k1"
+        ));
+    }
+}
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -101,6 +101,8 @@
 //!                                    (also for polls that are open, for good), or ok
 //!     move SERVICE ...               discovery, counter: change ports; reloads the configuration
 //!     rules TEXT                     replaces the rule file (\n is an escape), reloads it (SIGHUP)
+//!     pipe NAME                      replaces this file of the program by a pipe that nobody writes
+//!                                    to, and reloads it (SIGHUP)
 //!     config TEXT                    replaces the configuration file and reloads it (SIGHUP)
 //!
 //! Processes:
--- a/tests/stage/steps.rs
+++ b/tests/stage/steps.rs
@@ -461,6 +461,13 @@
                 std::fs::write(self.folder.join("rules.toml"), text).unwrap();
                 self.reload_files().await;
             }
+            ["pipe", name] => {
+                let path = self.folder.join(name);
+                std::fs::remove_file(&path).unwrap();
+                let made = Command::new("mkfifo").arg(&path).status().unwrap();
+                assert!(made.success());
+                self.reload_files().await;
+            }
             ["config", text @ ..] => {
                 std::fs::write(self.folder.join("config.json"), text.join(" ")).unwrap();
                 self.reload_files().await;
