A preempted thread no longer stops a plug-in script

Cause: the limit of 5 ms took the time for which the system ran other processes for work of the script.

Change: one operation is charged for 1 ms at most; 100 ms end any run.

--- a/src/plugin/run_time.rs
+++ b/src/plugin/run_time.rs
@@ -4,6 +4,9 @@
 //! it works, and operations within its callbacks are not counted at all. Therefore the engine checks
 //! the time before each operation, those within callbacks included.
 //!
+//! The system may take the processor from the thread for longer than a whole run takes. A sound script
+//! must not be stopped for that, so one operation is charged for little, however long it took.
+//!
 //! A script that is stopped on every request would still use up the thread. Stopped runs have a share
 //! of the thread's time; once it is used up, the script is not run until some time has passed.
 
@@ -12,38 +15,54 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Longest run for one request.
+/// Most time that operations of one run may be charged for.
 pub(super) const MAX_RUN_TIME: Duration = Duration::from_millis(5);
+/// Most time that one operation is charged for.
+const MAX_OPERATION_CHARGE: Duration = Duration::from_millis(1);
+/// Longest run, whatever its operations are charged for.
+const MAX_HOLD: Duration = Duration::from_millis(100);
 /// Share of the thread's time for runs that are stopped.
 const STOPPED_RUNS_SHARE: f64 = 0.25;
 /// Time for runs that are stopped directly one after another, ms.
 const MAX_STOPPED_RUNS_MS: f64 = 50.0;
 
-/// When the current run must end, and whether it has been stopped. Shared with the engine.
+/// The time of the current run, and whether it has been stopped. Shared with the engine.
 #[derive(Clone, Default)]
-pub(super) struct RunDeadline {
-    end: Rc<Cell<Option<Instant>>>,
-    stopped: Rc<Cell<bool>>,
+pub(super) struct RunDeadline(Rc<Cell<CurrentRun>>);
+
+#[derive(Clone, Copy, Default)]
+struct CurrentRun {
+    /// When the run started, and when its last operation began; none between runs.
+    times: Option<(Instant, Instant)>,
+    charged: Duration,
+    stopped: bool,
 }
 
 impl RunDeadline {
     /// Whether the current run must stop now. Called by the engine before each operation.
     pub(super) fn has_passed(&self) -> bool {
-        let passed = self.end.get().is_some_and(|end| Instant::now() >= end);
-        if passed {
-            self.stopped.set(true);
-        }
-        passed
+        let mut run = self.0.get();
+        let Some((started, last_operation)) = run.times else {
+            return false;
+        };
+        let now = Instant::now();
+        run.times = Some((started, now));
+        run.charged += (now - last_operation).min(MAX_OPERATION_CHARGE);
+        run.stopped |= run.charged >= MAX_RUN_TIME || now - started >= MAX_HOLD;
+        self.0.set(run);
+        run.stopped
     }
 
     fn start(&self) {
-        self.end.set(Some(Instant::now() + MAX_RUN_TIME));
-        self.stopped.set(false);
+        let now = Instant::now();
+        self.0.set(CurrentRun {
+            times: Some((now, now)),
+            ..CurrentRun::default()
+        });
     }
 
     fn finish(&self) -> bool {
-        self.end.set(None);
-        self.stopped.get()
+        self.0.take().stopped
     }
 }
 
--- a/src/plugin/run_time/tests.rs
+++ b/src/plugin/run_time/tests.rs
@@ -33,3 +33,18 @@
         assert_eq!((run.result, run.stopped), (7, false));
     }
 }
+
+/// The system takes the processor from the thread during a sound script, three times. The script must not
+/// be stopped for that: its request would be rejected.
+#[test]
+fn run_is_not_stopped_because_the_thread_was_preempted() {
+    let deadline = RunDeadline::default();
+    let run_time = RunTime::new(deadline.clone());
+    let preempted = || {
+        for _ in 0..3 {
+            std::thread::sleep(2 * MAX_RUN_TIME);
+            assert!(!deadline.has_passed());
+        }
+    };
+    assert!(!run_time.run(0.0, preempted).unwrap().stopped);
+}
