--- a/src/frontend/http2/connection.rs
+++ b/src/frontend/http2/connection.rs
@@ -28,10 +28,6 @@
 const MAX_UNSENT: usize = 8 * 1024;
 /// Most reset streams that `h2` remembers, or holds before the ingress accepts them. Bounds memory.
 const MAX_REMEMBERED_RESETS: usize = 64;
-/// Most streams that `h2` may reset itself over the life of a connection; it then closes the connection.
-/// A sound client causes some, for example with data that arrives after an early answer. Streams that
-/// are reset unanswered count in [`MAX_RESETS`] too.
-const MAX_LIBRARY_RESETS: usize = 1024;
 /// Most streams of a connection that may be reset unanswered within [`RESET_WINDOW_MS`]. Far more
 /// than a client resets because its users cancel.
 const MAX_RESETS: u32 = 200;
@@ -185,7 +181,7 @@
         .max_send_buffer_size(MAX_UNSENT)
         .max_concurrent_reset_streams(MAX_REMEMBERED_RESETS)
         .max_pending_accept_reset_streams(MAX_REMEMBERED_RESETS)
-        .max_local_error_reset_streams(Some(MAX_LIBRARY_RESETS));
+        .max_local_error_reset_streams(Some(MAX_REMEMBERED_RESETS));
     let drained = async {
         this.drain_requested.notified().await;
         tokio::time::sleep(DRAIN_GRACE).await;
